--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -12,7 +12,7 @@
 
 from loftroute.decision import interface as i
 from loftroute.decision.interface import Effect, Group, Outcome, Phase, ServerState, Verdict
-from loftroute.decision.state import Attempt, Ballot, Memory, Request, Seen, Server, WindowSum
+from loftroute.decision.state import Attempt, Ballot, Memory, Rate, Request, Seen, Server, WindowSum
 
 MS, SECOND = 1_000_000, 1_000_000_000
 # the release judge
@@ -39,6 +39,7 @@
 SILENT, SILENT_PACE = 700 * MS, 6.0  # not heard for so long, and for so many times what is expected
 COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
+ANSWERS = 16  # answers that tell a rate
 CROWD, CROWD_LESSER = 0.4, 0.25  # share of the time to the aim that the wait may fill
 FAULTY = 0.15  # smoothed failures of an earlier-build server that show machines failing by themselves
 EASY = 0.2  # share of the aim that may be spent waiting: beyond it slowness says nothing of a build
@@ -93,8 +94,8 @@
         whole fleet, and not at one or two of many servers only, against machines that fail by themselves."""
         n = min(len(peers), max(w, PEERLESS))  # the latest, as many as the window, so that a jolt meets both
         failing = [server for at, server in self.bad if at >= len(self.sums) - max(w, 2 * PREFIX)]
-        spread = len(set(failing)) >= need and len(failing) >= 3
-        return spread and (n < PEERLESS or sqrt(w * n / (w + n)) * (rate - sum(peers[-n:]) / n) > bound / 2)
+        return len(set(failing)) >= need and len(failing) >= 3 and (
+            n < PEERLESS or sqrt(w * n / (w + n)) * (rate - sum(peers[-n:]) / n) > bound / 2)
 
 
 class Balancer(Memory):
@@ -106,7 +107,7 @@
         self.retry_tokens = RETRY_MAX / 2
         self.usual = [c.aim / 5.0 for c in settings.classes]  # learnt latency by class
         self.stay = self.calm = sum(self.usual[:1])
-        self.answered, self.ghosts = WindowSum(SECOND), WindowSum(2 * SECOND)
+        self.answered, self.ghosts = Rate(SECOND, ANSWERS), WindowSum(2 * SECOND)
         self.tenants = [WindowSum(2 * SECOND) for _ in settings.quotas]
         self.scans = [Scan(kind, []) for kind in SCANS]
         self.on = {
@@ -193,9 +194,8 @@
         return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
     def _cap(self, build: int) -> float:
-        if self.news and build == self.news.build:
-            return self.news.cap
-        return self.rel.stage_cap[0] if self.rel.stage_cap else 0.0
+        named = self.news and build == self.news.build
+        return self.news.cap if named else next(iter(self.rel.stage_cap), 0.0)
 
     def _exposed(self, build: int, cls: int) -> bool:
         """Whether rule 5 lets an attempt of this class go to a build on trial now."""
@@ -252,26 +252,23 @@
         self._earn(cls)
         self.retry_tokens = min(self.retry_tokens + RETRY_EARN, RETRY_MAX)
         work = float(event.hint or self.usual[cls])
-        aim = min(rule.aim + int(rule.aim_stretch * work), rule.deadline, event.left)
-        over = False
+        aim, over = min(rule.aim + int(rule.aim_stretch * work), rule.deadline, event.left), False
         if event.tenant < len(self.tenants):
             window = self.tenants[event.tenant]
             window.add(self.now, 1.0)
             allowed = self.cfg.quotas[event.tenant] / self.cfg.instances * window.length / SECOND
             over = window.total(self.now) > 1.2 * allowed + 3
-        request = Request(event.request, event.key, cls, rule, work, self.now,
-                          self.now + aim, self.now + event.left)
-        self.requests[event.request] = request
-        if self._crowded(request, over or event.repeat):
-            return self._give_up(request)
-        self._place(request)
+        request = self.requests[event.request] = Request(
+            event.request, event.key, cls, rule, work, self.now, self.now + aim, self.now + event.left)
+        (self._give_up if self._crowded(request, over or event.repeat) else self._place)(request)
 
     def _crowded(self, request: Request, lesser: bool) -> bool:
         """Whether an answer would come too late. By Little's law a request stays out / rate of answers;
         what that exceeds its own calm level by is time spent waiting. Attempts that timed out of late count
         as out, since servers go on with them; attempts at silent servers do not, or a cut would refuse all.
-        What is worth less, or may be past its aim, goes first. One attempt a server is never too many."""
-        rate = max(self.answered.total(self.now), 1.0)
+        What is worth less, or may be past its aim, goes first. One attempt a server, all instances' together,
+        is never too many. With few answers a second the rate is that of the last few, however long ago."""
+        rate = max(self.answered.rate(self.now), 0.1)
         out = sum(len(s.out) for s in self.alive) + self.ghosts.total(self.now)
         self.stay += 0.1 * (min(out / rate, 10.0) * self.answered.length - self.stay)
         rise = min((self.now - self.seen) / CALM_OVER, 1.0)
@@ -280,7 +277,8 @@
         self.wait = self.stay - self.calm
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
-        return self.wait > limit and out > len(self.alive) and self.now - self.born > 2 * SECOND
+        many = out * self.cfg.instances > len(self.alive) and self.now - self.born > 2 * SECOND
+        return many and self.wait > limit
 
     def _cost(self, server: Server, request: Request) -> float:
         far = server.entry.zone != self.cfg.zone and self.cfg.cross_zone_price > 0
@@ -351,8 +349,8 @@
         self.held.pop(request.id, None)
         del self.requests[request.id]
         ran = any(a.outcome not in NEVER_RAN for a in request.attempts)
-        keyed_all = request.rule.effect is Effect.KEYED and request.rule.group is Group.ALL
-        if not ran or request.rule.effect is Effect.SAFE or keyed_all:
+        effect, group = request.rule.effect, request.rule.group
+        if not ran or effect is Effect.SAFE or (effect is Effect.KEYED and group is Group.ALL):
             wait = min(max(SECOND // 4, int(self.wait)), self.cfg.max_retry_after)
             self._do(i.Refuse(request.id, wait if self.cfg.retry_after else 0))
         else:
@@ -402,7 +400,7 @@
             self.pace += 0.02 * (ratio - self.pace)
         if outcome is Outcome.OK:
             server.done.add(self.now, attempt.work)
-            self.answered.add(self.now, 1.0)
+            self.answered.add(self.now)
             if request:
                 self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
             if request and request.key is not None and self.rel.one_way:
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -32,6 +32,27 @@
         return self._total
 
 
+class Rate:
+    """How often events come: in the last `length`, or of the latest few where these lie further back."""
+
+    __slots__ = ("_all", "_latest", "length")
+
+    def __init__(self, length: int, least: int) -> None:
+        self.length, self._all = length, WindowSum(length)
+        self._latest: deque[int] = deque(maxlen=least)
+
+    def add(self, now: int) -> None:
+        self._all.add(now, 1.0)
+        self._latest.append(now)
+
+    def rate(self, now: int) -> float:
+        """Events for each `length`."""
+        seen, latest = self._all.total(now), self._latest
+        if latest and seen < len(latest):
+            return len(latest) * self.length / max(now - latest[0], self.length)
+        return seen
+
+
 @dataclass(slots=True)
 class Attempt:
     entry: ServerEntry
