--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -12,13 +12,12 @@
 
 from loftroute.decision import interface as i
 from loftroute.decision.interface import Effect, Group, Outcome, Phase, ServerState, Verdict
-from loftroute.decision.state import Attempt, Ballot, Memory, Rate, Request, Seen, Server, WindowSum
+from loftroute.decision.state import Attempt, Ballot, Memory, Request, Seen, Server, WindowSum
 
 MS, SECOND = 1_000_000, 1_000_000_000
 # the release judge
 PREFIX = 64  # latest earlier-build outcomes that a stream starts behind
-SCAN_FROM = 8  # values in the stream before it is scanned
-ALPHA = 0.05  # chance of a false alarm that the threshold is set for
+SCAN_FROM, ALPHA = 8, 0.05  # values before a stream is scanned; chance of a false alarm it is set for
 # What is scanned, with the multiplier beside an earlier build that answers now and without one (the Note has
 # 2^{3/2} and says that it did not make it small): all that is bad; errors, which crowding does not cause; and
 # answers slower for their work than most of the prefix, where the aim is too wide to show a slow build.
@@ -29,13 +28,15 @@
 PEERLESS, PEER_AGE = 8, 2 * SECOND  # earlier-build outcomes that tell the build's fault from the fleet's
 
 # routing and health
-PACE_STEP = 0.15  # weight of a new answer in a server's learnt pace
+# Learnt pace (time taken for the work): weight of a new answer, how many answers what is known of the zone
+# weighs, what is left of their number each tick, and how often as slow as the swift ones is out of favour.
+PACE_STEP, ZONE_TRUST, FADE, SLOW = 0.15, 3.0, 0.98, 2.0
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
 TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
 TRY_PACE = 4.0  # ... or this many times what the server is expected to need
 RETRY_EARN, RETRY_MAX = 0.2, 20.0
-EJECT_AFTER, EJECT_FOR, EJECT_MAX = 3, SECOND, 8 * SECOND  # failures in a row; how long at first, at most
-EJECT_SHARE = 0.4  # of the usable servers, at most
+FAILED = 12.0  # an error, a full server or no connection counts as an answer so many times as slow
+EJECT_FOR, EJECT_MAX = SECOND, 8 * SECOND
 SILENT, SILENT_PACE = 700 * MS, 6.0  # not heard for so long, and for so many times what is expected
 COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
@@ -44,12 +45,13 @@
 FAULTY = 0.15  # smoothed failures of an earlier-build server that show machines failing by themselves
 EASY = 0.2  # share of the aim that may be spent waiting: beyond it slowness says nothing of a build
 MOST_TRIAL = 0.85  # of the traffic, so that the judge still sees the earlier build
-SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE = 20 * MS, 250 * MS, 30 * MS
+DONE_OVER = 2 * SECOND  # finished work of a server is summed over
+SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
-JUDGED = (Phase.TRIAL, Phase.RELEASED)
-HARD = frozenset({Outcome.ERROR, Outcome.RESET})
+JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
+HARD = {Outcome.ERROR, Outcome.RESET}
 BAD = HARD | {Outcome.TIMEOUT}
+REFUSED = HARD | {Outcome.FULL, Outcome.CONNECT_FAILED}
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
 
 
@@ -106,17 +108,21 @@
         self.cfg, self.rel, self.random = settings, settings.release, Random(seed)
         self.retry_tokens = RETRY_MAX / 2
         self.usual = [c.aim / 5.0 for c in settings.classes]  # learnt latency by class
+        self.patience = [0.0 for _ in settings.classes]  # time left of most requests on arrival
         self.stay = self.calm = sum(self.usual[:1])
-        self.answered, self.ghosts = Rate(SECOND, ANSWERS), WindowSum(2 * SECOND)
+        self.answered, self.ghosts = WindowSum(SECOND), WindowSum(2 * SECOND)
         self.tenants = [WindowSum(2 * SECOND) for _ in settings.quotas]
         self.scans = [Scan(kind, []) for kind in SCANS]
         self.on = {
             i.Started: self._start, i.ServerList: self._list, i.RequestArrived: self._arrive,
-            i.AttemptEnded: self._ended, i.ClientGone: self._gone, i.TimerFired: self._timer,
+            i.AttemptEnded: self._ended, i.ClientGone: self.forget, i.TimerFired: self._timer,
             i.ReleaseNews: self._release, i.AnswerDisputed: self._disputed,
         }
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
+        if now > self.now:  # an own tick long overdue: this instance stood still, and finds all at once
+            self.stall = now - self.due if self.due and now - self.due > STALL else 0
+            self.awake = now if self.stall else self.awake
         self.now, self.actions = now, []
         self._do = self.actions.append
         self.on.get(type(event), lambda _: None)(event)
@@ -126,14 +132,16 @@
 
     def _start(self, _: i.Started) -> None:
         self.born = self.seen = self.easy_at = self.now
-        self._do(i.SetTimer(self.now + HOUSEKEEPING, TICK_TOKEN))
+        self._timer(i.TimerFired(TICK_TOKEN))
         if self.cfg.ask:
             self._do(i.Watch(True))
 
     def _timer(self, event: i.TimerFired) -> None:
         if event.token == TICK_TOKEN:
-            self._do(i.SetTimer(self.now + HOUSEKEEPING, TICK_TOKEN))
-            self._silence()
+            self.due = self.now + HOUSEKEEPING
+            self._do(i.SetTimer(self.due, TICK_TOKEN))
+            if not self.stall:  # an own stall is no silence of a server
+                self._silence()
             self._refresh()
             self._vote()
         elif event.token == WATCH_TOKEN:
@@ -154,37 +162,28 @@
             wait = (SECOND // 4 << self.watch_tries) * (0.5 + self.random.random())
             return self._do(i.SetTimer(self.now + int(wait), WATCH_TOKEN))
         self.watch_tries = 0
-        for server in self.servers.values():
-            server.listed &= event.kind is i.ListKind.DELTA
-        for entry in event.entries:
-            self._enter(entry)
+        self.apply(event, self.cfg.fall, DONE_OVER)
         self._refresh()
 
     def _refresh(self) -> None:
         """What is the same for all requests until the next tick, so that none of them pays for the fleet."""
-        self.alive = [s for s in self.servers.values() if s.listed and s.quiet(self.now) < SILENT]
+        self.alive = [s for s in self.servers.values() if s.listed and not s.ejected_until and s.favour > 0.5]
+        ages = [self.now - a.sent for s in self.alive for a in s.out.values()]
+        waiting = [age for age in ages if age <= SILENT]
+        self.lost = len(ages) - len(waiting)
+        self.age = sum(waiting) / len(waiting) if len(waiting) >= 3 else 0.0
         self.ready = [s for s in self.servers.values() if s.listed and s.entry.state is ServerState.READY]
         self.builds = sorted({s.entry.build for s in self.ready})
-        done = []
         for server in self.ready:
             server.warmth = self._warmth(server)
-            if server.warmth >= 1.0:
-                done.append(server.done.total(self.now) / server.done.length / server.entry.weight)
+        warm = [s for s in self.ready if s.warmth >= 1.0]
+        done = [s.done.total(self.now) / s.done.length / s.entry.weight for s in warm]
         self.usually = sorted(done)[len(done) // 2] if done else 0.0  # work a second of a warm one of size 1
-        trial = sum(s.warmth for s in self.ready if self._trial(s.entry.build))
+        self._favour()
+        trial = sum(s.warmth * s.favour for s in self.ready if self._trial(s.entry.build))
         places = sum(self.rel.in_place or not self._trial(s.entry.build) for s in self.ready)
         self.share = min(trial / max(places, 1), MOST_TRIAL)
 
-    def _enter(self, entry: i.ServerEntry) -> None:
-        server = self.servers.get(entry.server)
-        if server is None or entry.build != server.entry.build or entry.started > server.entry.started:
-            fresh = Server(entry, WindowSum(self.cfg.fall), WindowSum(2 * SECOND), self.pace, entry.started)
-            if server:
-                fresh.out, fresh.load, fresh.sent = server.out, server.load, server.sent
-            self.servers[entry.server] = server = fresh
-        server.entry = entry
-        server.listed = entry.state is not ServerState.GONE
-
     # ---- the rules that bound where a request may go
 
     def _trial(self, build: int) -> bool:
@@ -215,23 +214,20 @@
 
     def _warmth(self, server: Server) -> float:
         """The least share of its capacity that a server may have now."""
-        if not server.started or not self.cfg.cold:
-            return 1.0
-        age = min(max(self.now - server.started, 0) / self.cfg.cold, 1.0)
+        age = min(max(self.now - server.started, 0) / max(self.cfg.cold, 1), 1.0) if server.started else 1.0
         return self.cfg.cold_share + (1 - self.cfg.cold_share) * age
 
     def _room(self, server: Server, work: float) -> bool:
         """Rule 4 as this instance's part of the budget: what warm servers really finish for it, times the
         multiple and the share of capacity that a cold one has. An overload does not raise what is done."""
-        usual = self.usually * server.entry.weight
-        budget = COLD_PART * self.cfg.fall_multiple * server.warmth * usual * self.cfg.fall
-        sent = server.sent.total(self.now)
+        budget = COLD_PART * self.cfg.fall_multiple * server.warmth * self.usually * server.entry.weight
+        budget, sent = budget * self.cfg.fall, server.sent.total(self.now)
         return sent + work <= budget or (not server.out and not sent)
 
     def _allowed(self, request: Request) -> list[Server]:
         """The servers at which the rules allow an attempt of this request now."""
-        news, first = self.news, next((a for a in request.attempts if a.outcome not in NEVER_RAN), None)
-        least = self.forward.get(request.key, 0) if news and news.phase in JUDGED else 0
+        first = next((a for a in request.attempts if a.outcome not in NEVER_RAN), None)
+        least = self.forward.get(request.key, 0) if self.news and self.news.phase in JUDGED else 0
         # Keys only go forward, until the build goes back.
         builds = [b for b in self.builds
                   if b >= least and (not self._trial(b) or self._exposed(b, request.cls))]
@@ -254,48 +250,72 @@
         work = float(event.hint or self.usual[cls])
         aim, over = min(rule.aim + int(rule.aim_stretch * work), rule.deadline, event.left), False
         if event.tenant < len(self.tenants):
-            window = self.tenants[event.tenant]
+            window, quota = self.tenants[event.tenant], self.cfg.quotas[event.tenant]
             window.add(self.now, 1.0)
-            allowed = self.cfg.quotas[event.tenant] / self.cfg.instances * window.length / SECOND
-            over = window.total(self.now) > 1.2 * allowed + 3
+            over = window.total(self.now) > 1.2 * quota / self.cfg.instances * window.length / SECOND + 3
+        # What came during an own stall has waited since: the time left tells how long.
+        usual = self.patience[cls] = self.patience[cls] or event.left
+        age = int(min(max(usual - event.left, 0), self.stall))
+        self.patience[cls] += (0.1 if event.left > usual else 0.005) * (event.left - usual)
         request = self.requests[event.request] = Request(
-            event.request, event.key, cls, rule, work, self.now, self.now + aim, self.now + event.left)
-        (self._give_up if self._crowded(request, over or event.repeat) else self._place)(request)
+            event.request, event.key, cls, rule, work, self.now - age, self.now - age + aim,
+            self.now + event.left)
+        past = self.now + GIVE_UP_BEFORE > request.aim_at and not rule.late_worth
+        (self._give_up if past or self._crowded(request, over or event.repeat) else self._place)(request)
 
     def _crowded(self, request: Request, lesser: bool) -> bool:
         """Whether an answer would come too late. By Little's law a request stays out / rate of answers;
         what that exceeds its own calm level by is time spent waiting. Attempts that timed out of late count
-        as out, since servers go on with them; attempts at silent servers do not, or a cut would refuse all.
+        as out, since servers go on with them; those at set-aside servers do not, or a cut would refuse all.
         What is worth less, or may be past its aim, goes first. One attempt a server, all instances' together,
-        is never too many. With few answers a second the rate is that of the last few, however long ago."""
-        rate = max(self.answered.rate(self.now), 0.1)
-        out = sum(len(s.out) for s in self.alive) + self.ghosts.total(self.now)
-        self.stay += 0.1 * (min(out / rate, 10.0) * self.answered.length - self.stay)
+        is never too many. With few answers a second it is what they took, or what those out have waited."""
+        if self._heaped():
+            return False
+        out = sum(len(s.out) for s in self.alive) - self.lost + self.ghosts.total(self.now)
+        rate = self.answered.total(self.now)
+        if rate >= ANSWERS:
+            self.stay += 0.1 * (min(out / rate, 10.0) * self.answered.length - self.stay)
         rise = min((self.now - self.seen) / CALM_OVER, 1.0)
         self.calm += (0.01 if self.stay < self.calm else rise) * (self.stay - self.calm)
         self.seen = self.now
-        self.wait = self.stay - self.calm
+        self.wait = max(self.stay, self.age) - self.calm
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
         many = out * self.cfg.instances > len(self.alive) and self.now - self.born > 2 * SECOND
         return many and self.wait > limit
 
-    def _cost(self, server: Server, request: Request) -> float:
-        far = server.entry.zone != self.cfg.zone and self.cfg.cross_zone_price > 0
-        cost = (server.load + request.work) * server.pace / (server.warmth * server.entry.weight)
-        return cost * (CROSS_ZONE if far else 1.0)
+    def _heaped(self) -> bool:
+        """What an own stall has heaped up came at once: no steady flow, no server's lateness."""
+        return 0 < self.awake > self.now - SECOND // 2
+
+    def _favour(self) -> None:
+        """Servers far slower than the swift quarter are drawn seldom: slow, failing, lossy or out of reach
+        for this instance, whatever others see. Few answers are read with those of the zone, and old ones
+        count less and less, so that what is mended is tried again."""
+        for zone in self.zones.values():
+            zone.known *= FADE
+        for server in self.ready:
+            server.pace.known *= FADE
+            server.expect = server.pace.guess(self.zones[server.entry.zone].guess(self.pace, 1.0), ZONE_TRUST)
+        swift = sorted(s.expect for s in self.ready)[len(self.ready) // 4] if self.ready else self.pace
+        self.pace += 0.1 * (swift - self.pace)
+        for server in self.ready:
+            server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 3
 
     def _choose(self, servers: list[Server], request: Request) -> Server:
         """Two random choices, by size and warmth; the better by outstanding work over learnt speed."""
-        pair = self.random.choices(servers, [s.entry.weight * s.warmth for s in servers], k=2)
-        return min(pair, key=lambda s: self._cost(s, request))
+        def cost(s: Server) -> float:
+            far = s.entry.zone != self.cfg.zone and self.cfg.cross_zone_price > 0
+            at = (s.load + request.work) * s.expect / (s.warmth * s.entry.weight)
+            return at * (CROSS_ZONE if far else 1.0)
+        pair = self.random.choices(servers, [s.entry.weight * s.warmth * s.favour for s in servers], k=2)
+        return min(pair, key=cost)
 
     def _place(self, request: Request) -> None:
         """Send the request somewhere, hold it while there is hope, or end it."""
         if self.now >= request.deadline - GIVE_UP_BEFORE or len(request.attempts) >= self.cfg.max_attempts:
             return self._give_up(request)
-        tried = {a.entry.server for a in request.attempts}
-        allowed = self._allowed(request)
+        tried, allowed = {a.entry.server for a in request.attempts}, self._allowed(request)
         # In service, or due to be tried with one attempt at a time.
         good = [s for s in allowed
                 if not s.ejected_until or (self.now >= s.ejected_until and not s.out)] or allowed
@@ -317,16 +337,14 @@
     def _side(self, servers: list[Server], aim: int) -> list[Server]:
         """The trial's servers or the others, by the share of the fleet's places that the trial's fill so far,
         warmth counted: beside the earlier machines a build so meets the load that it will bear alone."""
-        trial = [s for s in servers if self._trial(s.entry.build)]
-        others = [s for s in servers if not self._trial(s.entry.build)]
-        if not trial or not others or self.wait > EASY * aim:
-            return servers
-        return trial if self.random.random() < self.share else others
+        on = self.random.random() < self.share
+        side = [s for s in servers if self._trial(s.entry.build) == on]
+        return servers if self.wait > EASY * aim else side or servers
 
     def _send(self, request: Request, server: Server) -> None:
         self.held.pop(request.id, None)
         entry = server.entry
-        attempt = Attempt(entry, self.now, server.warmth >= 1.0, request.work)
+        attempt = Attempt(entry, self.now, server.warmth >= 1.0 and not self._heaped(), request.work)
         server.out[request.id, len(request.attempts)] = attempt
         server.load += request.work
         server.sent.add(self.now, request.work)
@@ -341,7 +359,7 @@
         last = len(request.attempts) >= min(self.cfg.max_attempts, 3) or self.retry_tokens < 1.0
         if last or request.rule.effect is Effect.UNSAFE or self.wait > CROWD_LESSER * to_aim:
             return left
-        wait = max(TRY_SHARE * to_aim, TRY_PACE * request.work * max(server.pace, self.pace))
+        wait = max(TRY_SHARE * to_aim, TRY_PACE * request.work * max(server.expect, self.pace))
         return int(wait) if wait < 0.7 * to_aim else left
 
     def _give_up(self, request: Request) -> None:
@@ -356,11 +374,6 @@
         else:
             self._do(i.Fail(request.id))
 
-    # ---- what comes back
-
-    def _gone(self, event: i.ClientGone | i.AttemptEnded) -> None:
-        self.forget(event.request)
-
     def _ended(self, event: i.AttemptEnded) -> None:
         server = self.servers.get(event.server)
         attempt = server.out.pop((event.request, event.attempt), None) if server else None
@@ -370,17 +383,13 @@
             attempt.outcome = event.outcome
             self._learn(server, attempt, event, request)
         if event.closed:
-            self._gone(event)
+            self.forget(event)
         elif request and not any(a.outcome is None for a in request.attempts):
-            self._further(request, event.outcome)
-
-    def _further(self, request: Request, outcome: Outcome) -> None:
-        """Another attempt, or the final answer. Unsafe work that may have run gets no other attempt."""
-        again = outcome in NEVER_RAN or request.rule.effect is not Effect.UNSAFE
-        if not again or self.retry_tokens < 1.0 or self.now >= request.aim_at:
-            return self._give_up(request)
-        self.retry_tokens -= 1.0
-        self._place(request)
+            again = event.outcome in NEVER_RAN or request.rule.effect is not Effect.UNSAFE
+            if not again or self.retry_tokens < 1.0 or self.now >= request.aim_at:
+                return self._give_up(request)
+            self.retry_tokens -= 1.0
+            self._place(request)
 
     def _learn(self, server: Server, attempt: Attempt, event: i.AttemptEnded, request: Request | None):
         outcome, took = event.outcome, event.latency
@@ -392,51 +401,41 @@
             for _ in range(server.doubts):  # it was slow, not silent
                 self._judge(attempt, 1, 0, inf)
             server.heard, server.doubts = self.now, 0
-        if outcome is Outcome.TIMEOUT and self.now - max(server.heard, attempt.sent) < SILENT:
-            self.ghosts.add(self.now, 1.0)
         ratio = min(took / max(attempt.work, 1.0), 30.0)
-        if outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and ratio > server.pace):
-            server.pace += PACE_STEP * (ratio - server.pace)
-            self.pace += 0.02 * (ratio - self.pace)
+        lost = server.favour <= 0.5 or self.now - max(server.heard, attempt.sent) >= SILENT  # not waiting
+        self.ghosts.add(self.now, float(outcome is Outcome.TIMEOUT and not lost))
+        if request and self.answered.total(self.now) < ANSWERS and (
+                outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and not lost)):
+            self.stay += 0.1 * (min(took, 2 * request.rule.aim) - self.stay)
         if outcome is Outcome.OK:
             server.done.add(self.now, attempt.work)
-            self.answered.add(self.now)
-            if request:
-                self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
+            self.answered.add(self.now, 1.0)
+            server.ejected_until = server.ejections = 0
             if request and request.key is not None and self.rel.one_way:
                 self.forward[request.key] = max(attempt.entry.build, self.forward.get(request.key, 0))
+        if self.stall:
+            return  # how long it took tells of this instance, not of the server
+        if outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and ratio > server.expect):
+            server.pace.learn(ratio, PACE_STEP)
+            self.zones[server.entry.zone].learn(ratio, PACE_STEP)
+        elif outcome in REFUSED and not self._trial(attempt.entry.build):  # the judge needs to see failures
+            server.pace.learn(FAILED * self.pace, PACE_STEP)
+        if outcome is Outcome.OK and request:
+            self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
         if outcome in (Outcome.OK, *BAD):
+            server.fail_rate += 0.1 * ((outcome in BAD) - server.fail_rate)
             late = request is not None and took > request.aim_at - request.arrived
             # A silent server is no fault of its build: a time-out counts once the server is heard again.
             if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent:
                 server.doubts += not server.ejected_until
             else:
                 self._judge(attempt, int(outcome in BAD or late), int(outcome in HARD), ratio)
-        self._health(server, outcome)
-
-    # ---- health
-
-    def _health(self, server: Server, outcome: Outcome) -> None:
-        if outcome is Outcome.OK:
-            server.fails, server.ejected_until, server.ejections = 0, 0, 0
-            server.fail_rate *= 0.9
-            self.fail_rate *= 0.99
-        elif outcome in BAD or outcome is Outcome.CONNECT_FAILED:
-            server.fails += 1
-            server.fail_rate += 0.1 * (1 - server.fail_rate)
-            self.fail_rate += 0.01 * (1 - self.fail_rate)
-            # Not when all fail alike; on trial the judge needs to see failures, and the cap bounds harm.
-            worse = server.fail_rate > 2 * self.fail_rate and not self._trial(server.entry.build)
-            if worse and server.fails >= EJECT_AFTER and self.now >= server.ejected_until:
-                listed = [s for s in self.servers.values() if s.listed]
-                if sum(s.ejected_until > 0 for s in listed) < EJECT_SHARE * len(listed):
-                    self._eject(server)
 
     def _eject(self, server: Server) -> None:
         length = min(EJECT_FOR << min(server.ejections, 5), EJECT_MAX)
         server.ejected_until = self.now + length
         server.ejections, server.doubts = server.ejections + 1, 0
-        self._do(i.Log(f"server {server.entry.server} set aside {length // MS} ms, {server.fails} failures"))
+        self._do(i.Log(f"server {server.entry.server} set aside {length // MS} ms, no answer"))
 
     def _silence(self) -> None:
         """Sets aside a server that answers nothing while attempts are out: silent, stopped or cut off."""
@@ -478,10 +477,8 @@
             self._judge(Attempt(server.entry, self.now, True, 0.0), 1, 1, 0.0)
 
     def _release(self, news: i.ReleaseNews) -> None:
-        if news.reply and self.ballot and self.ballot.pending:
-            self.ballot.pending = False
-            if news.status is Outcome.OK:
-                self.ballot.until = self.ballot.sent + self.rel.vote_life
+        if news.reply and self.ballot:
+            self.ballot.answered(news.status is Outcome.OK, self.rel.vote_life)
         if news.status is not Outcome.OK:
             return
         old, self.news = self.news, news
@@ -511,7 +508,7 @@
         if all(s.ejected_until for s in trial):
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
-        ripe = baked >= (0 if self.scans[0].seen >= SAMPLE else WAIT)
+        ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= WAIT)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
     def _vote(self) -> None:
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -1,9 +1,20 @@
 """Plain records that the policy keeps, and a counter over a sliding window. Nothing is decided here."""
 
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
-from loftroute.decision.interface import Action, Outcome, ReleaseNews, RequestClass, ServerEntry
+from loftroute.decision.interface import (
+    Action,
+    AttemptEnded,
+    ClientGone,
+    ListKind,
+    Outcome,
+    ReleaseNews,
+    RequestClass,
+    ServerEntry,
+    ServerList,
+    ServerState,
+)
 
 Seen = tuple[int, int, int, float]  # an outcome: when, 1 = bad, 1 = error, time taken for its work
 
@@ -32,25 +43,20 @@
         return self._total
 
 
-class Rate:
-    """How often events come: in the last `length`, or of the latest few where these lie further back."""
-
-    __slots__ = ("_all", "_latest", "length")
+@dataclass(slots=True)
+class Pace:
+    """A smoothed figure, and how many values it rests on."""
 
-    def __init__(self, length: int, least: int) -> None:
-        self.length, self._all = length, WindowSum(length)
-        self._latest: deque[int] = deque(maxlen=least)
+    value: float = 1.0
+    known: float = 0.0
 
-    def add(self, now: int) -> None:
-        self._all.add(now, 1.0)
-        self._latest.append(now)
+    def learn(self, value: float, step: float) -> None:
+        self.known += 1.0
+        self.value += max(step, 1.0 / self.known) * (value - self.value)
 
-    def rate(self, now: int) -> float:
-        """Events for each `length`."""
-        seen, latest = self._all.total(now), self._latest
-        if latest and seen < len(latest):
-            return len(latest) * self.length / max(now - latest[0], self.length)
-        return seen
+    def guess(self, prior: float, trust: float) -> float:
+        """The figure, leaning on a prior that weighs as much as so many values."""
+        return (self.known * self.value + trust * prior) / (self.known + trust)
 
 
 @dataclass(slots=True)
@@ -80,14 +86,15 @@
     entry: ServerEntry
     sent: WindowSum
     done: WindowSum
-    pace: float
+    pace: Pace
+    expect: float
     started: int
     warmth: float = 1.0
+    favour: float = 1.0
     listed: bool = True
     out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     load: float = 0.0
     heard: int = 0
-    fails: int = 0
     fail_rate: float = 0.0
     ejected_until: int = 0
     ejections: int = 0
@@ -110,6 +117,11 @@
     pending: bool = True
     until: int = 0
 
+    def answered(self, stands: bool, life: int) -> None:
+        if self.pending and stands:
+            self.until = self.sent + life
+        self.pending = False
+
 
 @dataclass(eq=False)
 class Memory:
@@ -123,15 +135,17 @@
     ready: list[Server] = field(default_factory=list)
     builds: list[int] = field(default_factory=list)
     usually: float = 0.0
+    lost: int = 0
+    age: float = 0.0
     share: float = 0.0
     requests: dict[str, Request] = field(default_factory=dict)
     held: dict[str, None] = field(default_factory=dict)
     sweeping: bool = False
     watch_tries: int = 0
     pace: float = 1.0
+    zones: defaultdict[int, Pace] = field(default_factory=lambda: defaultdict(Pace))
     wait: float = 0.0
     seen: int = 0
-    fail_rate: float = 0.0
     news: ReleaseNews | None = None
     stage_since: int = 0
     build_since: int = 0
@@ -142,12 +156,29 @@
     alarm: bool = False
     ballot: Ballot | None = None
     drawn: int = 0
+    due: int = 0
+    stall: int = 0
+    awake: int = 0
 
     def earlier(self, build: int) -> deque[Seen] | tuple[()]:
         """The outcomes kept of the build before this one."""
         return self.outcomes.get(max((b for b in self.outcomes if b < build), default=-1), ())
 
-    def forget(self, name: str) -> None:
+    def forget(self, event: ClientGone | AttemptEnded) -> None:
         """A request has ended."""
-        self.requests.pop(name, None)
-        self.held.pop(name, None)
+        self.requests.pop(event.request, None)
+        self.held.pop(event.request, None)
+
+    def apply(self, event: ServerList, span: int, done_span: int) -> None:
+        """Bring the list up to date; work sent and done is summed over these spans."""
+        for server in self.servers.values():
+            server.listed &= event.kind is ListKind.DELTA
+        for entry in event.entries:
+            known = self.servers.get(entry.server)
+            if known is None or entry.build != known.entry.build or entry.started > known.entry.started:
+                fresh = Server(entry, WindowSum(span), WindowSum(done_span), Pace(), self.pace,
+                               entry.started)
+                if known:
+                    fresh.out, fresh.load, fresh.sent = known.out, known.load, known.sent
+                self.servers[entry.server] = known = fresh
+            known.entry, known.listed = entry, entry.state is not ServerState.GONE
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -40,9 +40,9 @@
     relay.serve(60, cls=2)
     reached = False
     while not reached:
-        actions = relay.serve(1, "Failed", bad_units=range(101, 102))
-        reached = any(a[2] == "101" for a in named(actions, "FORWARD"))
-    assert verdicts(relay.wait(1500 * MS)) == {HOLD}
+        actions = relay.serve(1, "Failed", bad_units=range(101, 200))
+        reached = any(int(a[2]) > 100 for a in named(actions, "FORWARD"))
+    assert verdicts([*actions, *relay.wait(1500 * MS)]) == {HOLD}
 
 
 def test_a_build_that_fails_all_is_voted_back_and_not_on_for_want_of_outcomes():
