--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -168,9 +168,9 @@
     def _refresh(self) -> None:
         """What is the same for all requests until the next tick, so that none of them pays for the fleet."""
         self.alive = [s for s in self.servers.values() if s.listed and not s.ejected_until and s.favour > 0.5]
-        ages = [self.now - a.sent for s in self.alive for a in s.out.values()]
-        waiting = [age for age in ages if age <= SILENT]
-        self.lost = len(ages) - len(waiting)
+        out = [(a, self.now - a.sent) for s in self.alive for a in s.out.values()]
+        waiting = [age for a, age in out if age <= max(SILENT, SILENT_PACE * self.pace * a.work)]
+        self.lost = len(out) - len(waiting)
         self.age = sum(waiting) / len(waiting) if len(waiting) >= 3 else 0.0
         self.ready = [s for s in self.servers.values() if s.listed and s.entry.state is ServerState.READY]
         self.builds = sorted({s.entry.build for s in self.ready})
@@ -268,7 +268,7 @@
         what that exceeds its own calm level by is time spent waiting. Attempts that timed out of late count
         as out, since servers go on with them; those at set-aside servers do not, or a cut would refuse all.
         What is worth less, or may be past its aim, goes first. One attempt a server, all instances' together,
-        is never too many. With few answers a second it is what they took, or what those out have waited."""
+        is never too many. With few answers a second it is what they took, with none the age of those out."""
         if self._heaped():
             return False
         out = sum(len(s.out) for s in self.alive) - self.lost + self.ghosts.total(self.now)
@@ -278,7 +278,7 @@
         rise = min((self.now - self.seen) / CALM_OVER, 1.0)
         self.calm += (0.01 if self.stay < self.calm else rise) * (self.stay - self.calm)
         self.seen = self.now
-        self.wait = max(self.stay, self.age) - self.calm
+        self.wait = (self.stay if rate else max(self.stay, self.age)) - self.calm
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
         many = out * self.cfg.instances > len(self.alive) and self.now - self.born > 2 * SECOND
