--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -30,7 +30,7 @@
 # routing and health
 # Learnt pace (time taken for the work): weight of a new answer, how many answers what is known of the zone
 # weighs, what is left of their number each tick, and how often as slow as the swift ones is out of favour.
-PACE_STEP, ZONE_TRUST, FADE, SLOW = 0.15, 3.0, 0.98, 2.0
+PACE_STEP, ZONE_TRUST, FADE, SLOW = 0.15, 3.0, 0.98, 2.5
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
 TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
 TRY_PACE = 4.0  # ... or this many times what the server is expected to need
@@ -300,7 +300,7 @@
         swift = sorted(s.expect for s in self.ready)[len(self.ready) // 4] if self.ready else self.pace
         self.pace += 0.1 * (swift - self.pace)
         for server in self.ready:
-            server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 3
+            server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 4
 
     def _choose(self, servers: list[Server], request: Request) -> Server:
         """Two random choices, by size and warmth; the better by outstanding work over learnt speed."""
