--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -22,8 +22,7 @@
 # 2^{3/2} and says that it did not make it small): all that is bad; errors, which crowding does not cause; and
 # answers slower for their work than most of the prefix, where the aim is too wide to show a slow build.
 SCANS = {"bad": (2.0, 2.0), "errors": (0.95, 0.95), "slow": (2.4, inf)}
-SAMPLE = 20  # trial outcomes of a stage that speak for going on
-WAIT = SECOND  # ... or this long after the bake (the page has 3 s), where they are few
+SAMPLE, WAIT = 20, SECOND  # trial outcomes of a stage that speak for going on, or time after the bake
 RENEW_BEFORE = 0.3  # share of a vote's life that is left when it is renewed
 PEERLESS, PEER_AGE = 8, 2 * SECOND  # earlier-build outcomes that tell the build's fault from the fleet's
 
@@ -386,9 +385,10 @@
             self.forget(event)
         elif request and not any(a.outcome is None for a in request.attempts):
             again = event.outcome in NEVER_RAN or request.rule.effect is not Effect.UNSAFE
-            if not again or self.retry_tokens < 1.0 or self.now >= request.aim_at:
+            cost = float(event.outcome is not Outcome.CONNECT_FAILED)  # that is no load: it reached no server
+            if not again or self.retry_tokens < cost or self.now >= request.aim_at:
                 return self._give_up(request)
-            self.retry_tokens -= 1.0
+            self.retry_tokens -= cost
             self._place(request)
 
     def _learn(self, server: Server, attempt: Attempt, event: i.AttemptEnded, request: Request | None):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -119,3 +119,11 @@
         if sent and int(sent[0][2]) <= 5:  # the others answer nothing
             relay.answer(ref)
     assert refused < 40
+
+
+def test_attempts_without_connection_cost_no_retry_budget():
+    """Where most servers take no connection, requests go on to those that do: trying loaded nothing."""
+    relay = Relay(setup(ceilings__max_attempts=8))
+    relay.fleet(12)
+    refused = len(named(relay.serve(200, "ConnectError", bad_units=range(3, 13)), "NOT_NOW"))
+    assert refused < 30
