After a failed connect a request goes where an answer came from lately

A server heard in the last 10 s surely holds a connection. May hurt where the failed connect is one machine's own: it then only narrows the choice.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -33,9 +33,8 @@
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
 TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
 TRY_PACE = 4.0  # ... or this many times what the server is expected to need
-RETRY_EARN, RETRY_MAX = 0.2, 20.0
+RETRY_EARN, RETRY_MAX, EJECT_FOR, EJECT_MAX = 0.2, 20.0, SECOND, 8 * SECOND
 FAILED = 12.0  # an error, a full server or no connection counts as an answer so many times as slow
-EJECT_FOR, EJECT_MAX = SECOND, 8 * SECOND
 SILENT, SILENT_PACE = 700 * MS, 6.0  # not heard for so long, and for so many times what is expected
 COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
@@ -44,7 +43,7 @@
 FAULTY = 0.15  # smoothed failures of an earlier-build server that show machines failing by themselves
 EASY = 0.2  # share of the aim that may be spent waiting: beyond it slowness says nothing of a build
 MOST_TRIAL = 0.85  # of the traffic, so that the judge still sees the earlier build
-DONE_OVER = 2 * SECOND  # finished work of a server is summed over
+DONE_OVER, LINKED = 2 * SECOND, 10 * SECOND  # finished work is summed over; a connection stays open
 SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
 JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
@@ -192,8 +191,7 @@
         return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
     def _cap(self, build: int) -> float:
-        named = self.news and build == self.news.build
-        return self.news.cap if named else next(iter(self.rel.stage_cap), 0.0)
+        return self.news.cap if self.news and build == self.news.build else next(iter(self.rel.stage_cap), 0)
 
     def _exposed(self, build: int, cls: int) -> bool:
         """Whether rule 5 lets an attempt of this class go to a build on trial now."""
@@ -321,6 +319,8 @@
         if self.alarm:  # a build voted back is kept away from while others can serve
             good = [s for s in good if s.entry.build != self.news.build] or good
         good = [s for s in good if s.entry.server not in tried] or good
+        if any(a.outcome is Outcome.CONNECT_FAILED for a in request.attempts):  # where one is surely open
+            good = [s for s in good if s.heard > self.now - LINKED] or good
         if good:
             return self._send(request, self._choose(self._side(good, request.rule.aim), request))
         if self.now >= request.aim_at - GIVE_UP_BEFORE:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -127,3 +127,16 @@
     relay.fleet(12)
     refused = len(named(relay.serve(200, "ConnectError", bad_units=range(3, 13)), "NOT_NOW"))
     assert refused < 30
+
+
+def test_after_a_failed_connect_a_request_goes_where_an_answer_came_from_lately():
+    relay = Relay()
+    relay.fleet(3)
+    relay.serve(60)
+    relay.fleet(23)  # twenty more, not one of them heard yet, and none takes a connection
+    seen = relay.serve(60, "ConnectError", bad_units=range(4, 24))
+    attempts: dict[str, list[int]] = {}
+    for _, ref, unit, _ in named(seen, "FORWARD"):
+        attempts.setdefault(ref, []).append(int(unit))
+    assert any(units[0] > 3 for units in attempts.values())
+    assert all(units[1] <= 3 for units in attempts.values() if len(units) > 1)
