--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -27,9 +27,9 @@
 PEERLESS, PEER_AGE = 8, 2 * SECOND  # earlier-build outcomes that tell the build's fault from the fleet's
 
 # routing and health
-# Learnt pace (time taken for the work): weight of a new answer, how many answers what is known of the zone
+# Learnt pace (time taken for the work): weight of an answer, of a failure, how many answers that of the zone
 # weighs, what is left of their number each tick, and how often as slow as the swift ones is out of favour.
-PACE_STEP, ZONE_TRUST, FADE, SLOW = 0.15, 3.0, 0.98, 2.5
+PACE_STEP, FAIL_STEP, ZONE_TRUST, FADE, SLOW = 0.1, 0.15, 3.0, 0.98, 2.5
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
 TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
 TRY_PACE = 4.0  # ... or this many times what the server is expected to need
@@ -416,10 +416,10 @@
         if self.stall:
             return  # how long it took tells of this instance, not of the server
         if outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and ratio > server.expect):
-            server.pace.learn(ratio, PACE_STEP)
-            self.zones[server.entry.zone].learn(ratio, PACE_STEP)
+            server.pace.learn(ratio, PACE_STEP if outcome is Outcome.OK else FAIL_STEP)
+            self.zones[server.entry.zone].learn(ratio, FAIL_STEP)
         elif outcome in REFUSED and not self._trial(attempt.entry.build):  # the judge needs to see failures
-            server.pace.learn(FAILED * self.pace, PACE_STEP)
+            server.pace.learn(FAILED * self.pace, FAIL_STEP)
         if outcome is Outcome.OK and request:
             self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
         if outcome in (Outcome.OK, *BAD):
