A failure that comes after all servers have left the list no longer ends the instance

Before any release news the newest of several builds counts as on trial; with no server left in the list there was none to compare with (IndexError).

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -187,7 +187,7 @@
     def _trial(self, build: int) -> bool:
         news = self.news
         if news is None:  # nothing told yet: the newest of several builds counts as on trial
-            return build > self.builds[0]
+            return build > min(self.builds, default=build)
         return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
     def _cap(self, build: int) -> float:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -140,3 +140,13 @@
         attempts.setdefault(ref, []).append(int(unit))
     assert any(units[0] > 3 for units in attempts.values())
     assert all(units[1] <= 3 for units in attempts.values() if len(units) > 1)
+
+
+def test_a_failure_that_comes_after_all_servers_have_left_the_list_is_taken_calmly():
+    relay = Relay()
+    relay.fleet(2)
+    ref, _ = relay.ask(0)
+    relay.servers()
+    actions = relay.answer(ref, "ConnectError")
+    assert not named(actions, "FORWARD") and not named(actions, "FINISH_ERROR")
+    assert named(relay.wait(3 * SECOND), "NOT_NOW")
