Tables of outcomes immutable again; one test tells a ghost, and only ghosts are added

Found on a read of the whole change: NEVER_RAN and HARD had become mutable sets, the condition for a timed-out attempt that still counts as out stood twice, and every outcome added a zero to its window.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -38,16 +38,15 @@
 SILENT, SILENT_PACE = 700 * MS, 6.0  # not heard for so long, and for so many times what is expected
 COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
-ANSWERS = 16  # answers that tell a rate
-CROWD, CROWD_LESSER = 0.5, 0.3  # share of the time to the aim that the wait may fill
+CROWD, CROWD_LESSER, ANSWERS = 0.5, 0.3, 16  # share of the time to the aim to wait; answers that tell a rate
 FAULTY = 0.15  # smoothed failures of an earlier-build server that show machines failing by themselves
 EASY = 0.2  # share of the aim that may be spent waiting: beyond it slowness says nothing of a build
 MOST_TRIAL = 0.85  # of the traffic, so that the judge still sees the earlier build
 DONE_OVER, LINKED = 2 * SECOND, 10 * SECOND  # finished work is summed over; a connection stays open
 SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
-JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT}
-HARD = {Outcome.ERROR, Outcome.RESET}
+JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+HARD = frozenset({Outcome.ERROR, Outcome.RESET})
 BAD = HARD | {Outcome.TIMEOUT}
 REFUSED = HARD | {Outcome.FULL, Outcome.CONNECT_FAILED}
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
@@ -402,10 +401,11 @@
                 self._judge(attempt, 1, 0, inf)
             server.heard, server.doubts = self.now, 0
         ratio = min(took / max(attempt.work, 1.0), 30.0)
-        lost = server.favour <= 0.5 or self.now - max(server.heard, attempt.sent) >= SILENT  # not waiting
-        self.ghosts.add(self.now, float(outcome is Outcome.TIMEOUT and not lost))
-        if request and self.answered.total(self.now) < ANSWERS and (
-                outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and not lost)):
+        ghost = outcome is Outcome.TIMEOUT and server.favour > 0.5 and (  # else lost, not waiting
+            self.now - max(server.heard, attempt.sent) < SILENT)
+        if ghost:
+            self.ghosts.add(self.now, 1.0)
+        if request and (outcome is Outcome.OK or ghost) and self.answered.total(self.now) < ANSWERS:
             self.stay += 0.1 * (min(took, 2 * request.rule.aim) - self.stay)
         if outcome is Outcome.OK:
             server.done.add(self.now, attempt.work)
