--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -239,12 +239,19 @@
     drain_most: int = 1_200_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """Where discovery and the platform are: what a reload may change."""
+
+    discovery: Address
+    platform: Address | None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
     listen: Address
-    discovery: Address
-    platform: Address | None
+    control: Control
     seed: int
     budget: Budget
     news: i.ReleaseNews | None
@@ -258,6 +265,17 @@
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration that RELAY_CONFIG names; the other variables go before what it holds."""
+    return read(_file(environ), environ)
+
+
+def reload(environ: Mapping[str, str] = os.environ) -> Control:
+    """What a new file changes. All of it must be right; its own words on discovery go before the variable,
+    which was set for the start. Its list and news may be old, and nothing is taken from them."""
+    fresh = read(_file(environ), {key: text for key, text in environ.items() if key != "RELAY_DISCOVERY"})
+    return fresh.control
+
+
+def _file(environ: Mapping[str, str]) -> dict[str, Any]:
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: missing, the path of the configuration wanted")
@@ -268,7 +286,7 @@
         raise ConfigError(f"RELAY_CONFIG: {problem}") from problem
     if not isinstance(raw, dict):
         raise ConfigError("RELAY_CONFIG: a JSON object wanted")
-    return read(raw, environ)
+    return raw
 
 
 def read(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
@@ -287,8 +305,7 @@
     return Config(
         name=top.text("name", "relay"),
         listen=top.address("listen"),
-        discovery=top.address("discovery"),
-        platform=pipe.address("address") if pipe.has("address") else None,
+        control=Control(top.address("discovery"), pipe.address("address") if pipe.has("address") else None),
         seed=_seed(top),
         budget=_budget(top.section("limits"), setup.section("ceilings")),
         news=_checked("pipeline.news", pipeline.news, pipe.raw("news")) if pipe.has("news") else None,
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -5,6 +5,7 @@
 from loftroute.config import Config
 from loftroute.decision import interface as i
 from loftroute.protocol import ProtocolError, catalog, http1
+from loftroute.protocol.catalog import Address
 from loftroute.relay.module import Module
 from loftroute.runtime.scheduler import MS, Mailbox, Scheduler, actor
 from loftroute.runtime.stream import Closed, Expired, Stream
@@ -16,17 +17,27 @@
     def __init__(self, config: Config, scheduler: Scheduler, module: Module) -> None:
         self._config, self._scheduler, self._module = config, scheduler, module
         self._transport = config.transport
+        self._address = config.control.discovery
+        self._moved = False
         self._ask = config.settings.ask
         self._on = not self._ask
         self._fetch = False
         self._version: int | None = config.known.event.version if config.known else None
         self._stream: Stream | None = None
-        self.failures = 0
-        self.answers = 0
+        self.failures = self.answers = self.old = 0
         self.mailbox: Mailbox[i.Watch | i.Fetch] = Mailbox(scheduler, config.transport.mailbox)
 
     def start(self) -> None:
-        actor(self._scheduler, "discovery", self.mailbox, self._run)
+        self._task = actor(self._scheduler, "discovery", self.mailbox, self._run)
+
+    def move(self, address: Address) -> None:
+        """Ask there from now on, the whole list first. The call under way is dropped: a watch goes by
+        versions, so what it would have told is told again."""
+        if address == self._address:
+            return
+        self._address, self._moved, self._fetch = address, True, True
+        self._hang_up()
+        self._scheduler.wake(self._task)
 
     def _run(self) -> None:
         while True:
@@ -37,8 +48,10 @@
             try:
                 self._call()
             except (Closed, Expired, ProtocolError) as problem:
-                self._broken(problem)
-                self._scheduler.sleep(self._transport.again_after)
+                self._hang_up()
+                if not self._moved:
+                    self._broken(problem)
+                    self._scheduler.sleep(self._transport.again_after)
 
     def _orders(self) -> None:
         while self.mailbox.items:
@@ -48,10 +61,12 @@
             else:
                 self._fetch = True
 
+    def _hang_up(self) -> None:
+        stream, self._stream = self._stream, None
+        if stream:
+            stream.close()
+
     def _broken(self, problem: Exception) -> None:
-        if self._stream:
-            self._stream.close()
-            self._stream = None
         self.failures += 1
         logger.debug("discovery: {}", problem)
         if self._ask:  # only who has asked is told, and asks again when it wants to
@@ -60,16 +75,17 @@
 
     def _call(self) -> None:
         transport, clock = self._transport, self._scheduler.clock
-        if self._stream is None:
-            self._stream = Stream.dial(self._scheduler, self._config.discovery,
-                                       clock.now() + transport.watch_grace, limit=transport.document)
+        self._moved = False
+        stream = self._stream = self._stream or Stream.dial(
+            self._scheduler, self._address, clock.now() + transport.watch_grace, limit=transport.document)
+        if self._moved:
+            raise Closed("another address was told meanwhile")
         whole = self._fetch or self._version is None
         wait = 0 if whole else transport.watch_wait
         target = catalog.list_target() if whole else catalog.watch_target(self._version, wait // MS)
         deadline = clock.now() + wait + transport.watch_grace
-        self._stream.send_all(
-            [http1.request("GET", target, str(self._config.discovery))], deadline)
-        response = self._stream.receive(http1.response, deadline)
+        stream.send_all([http1.request("GET", target, str(self._address))], deadline)
+        response = stream.receive(http1.response, deadline)
         if response.status != 200:
             raise ProtocolError(f"discovery: status {response.status}")
         self._tell(self._config.catalog.read(response.body))
@@ -78,6 +94,9 @@
     def _tell(self, listing: catalog.Listing) -> None:
         self.answers += 1
         event = listing.event
+        if self._version is not None and event.version < self._version:
+            self.old += 1  # an agent that lags behind what is known
+            return
         if event.kind is i.ListKind.FULL or event.entries or self._ask:
             self._module.listing(listing)
-        self._version = event.version if self._version is None else max(self._version, event.version)
+        self._version = event.version
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -7,9 +7,11 @@
 
 from loguru import logger
 
+from loftroute import config as configuration
 from loftroute import invariants
 from loftroute.config import Config
 from loftroute.decision.policy import Balancer
+from loftroute.protocol.catalog import Address
 from loftroute.relay.clients import Clients
 from loftroute.relay.discovery import Discovery
 from loftroute.relay.module import Module
@@ -32,13 +34,16 @@
         self.discovery = Discovery(config, self.scheduler, self.module)
         self.changes: Changes | None = None
         self.votes: Votes | None = None
-        self.ending = False
+        self.ending = self._reload_asked = False
+        self.reloads = 0
 
     def run(self) -> None:
-        self._begin()
         self._guard = self.scheduler.spawn("lifecycle", self._live)
+        self._reloader = self.scheduler.spawn("reload", self._reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._asked_to_end)
+        signal.signal(signal.SIGHUP, self._asked_to_reload)
+        self._begin()
         gc.collect()
         gc.freeze()  # what lives for good is not looked through again
         gc.set_threshold(50_000, 20, 100)
@@ -55,12 +60,15 @@
             module.news(config.news)
         module.start()
         self.discovery.start()
-        if config.platform:
-            self.changes = Changes(config, self.scheduler, module, config.platform)
-            self.votes = Votes(config, self.scheduler, module, config.platform)
-            module.vote = self.votes.mailbox.put
-            self.changes.start()
-            self.votes.start()
+        if config.control.platform:
+            self._attach(config.control.platform)
+
+    def _attach(self, platform: Address) -> None:
+        self.changes = Changes(self.config, self.scheduler, self.module, platform)
+        self.votes = Votes(self.config, self.scheduler, self.module, platform)
+        self.module.vote = self.votes.mailbox.put
+        self.changes.start()
+        self.votes.start()
 
     def _failed(self, task: str, problem: Exception) -> None:
         logger.opt(exception=problem).error("task {} failed", task)
@@ -69,6 +77,33 @@
         self.ending = True
         self.scheduler.wake(self._guard)
 
+    def _asked_to_reload(self, *_: object) -> None:
+        self._reload_asked = True
+        self.scheduler.wake(self._reloader)
+
+    def _reload(self) -> None:
+        """At each SIGHUP, also while ending: a file with a fault changes nothing."""
+        while True:
+            if not self._reload_asked:
+                self.scheduler.park()
+                continue
+            self._reload_asked = False
+            try:
+                self._follow(configuration.reload())
+            except configuration.ConfigError as problem:
+                logger.error("reload: {}; the old configuration stays", problem)
+
+    def _follow(self, control: configuration.Control) -> None:
+        """The control service is elsewhere; the list, the requests and all that was learnt stay."""
+        self.reloads += 1
+        logger.info("reload: discovery {}, platform {}", control.discovery, control.platform)
+        self.discovery.move(control.discovery)
+        if control.platform and self.changes and self.votes:
+            self.changes.move(control.platform)
+            self.votes.move(control.platform)
+        elif control.platform:
+            self._attach(control.platform)
+
     def _live(self) -> None:
         clock, every = self.scheduler.clock, self.config.transport.report_every
         report_at = clock.now() + every
@@ -109,7 +144,8 @@
             "cpu s": round(used.ru_utime + used.ru_stime, 1), "task failures": scheduler.failures,
             "bad requests": self.clients.bad, "malformed": self.clients.malformed + self.units.malformed,
             "crowded": self.units.crowded + self.clients.crowded,
-            "lists": self.discovery.answers, "turns": scheduler.turns,
+            "lists": self.discovery.answers, "old lists": self.discovery.old, "reloads": self.reloads,
+            "turns": scheduler.turns,
             "discovery failures": self.discovery.failures,
             "changes failures": self.changes.failures if self.changes else 0,
             "dropped messages": self.module.mailbox.dropped, "requests": self.module.requests,
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -55,7 +55,9 @@
         self._most, self._lone = config.budget.open, not config.settings.second_copies
         self._attempts = config.settings.max_attempts
         self._news: i.ReleaseNews | None = None
-        self._lacks: set[type] = {i.Started, i.ServerList, *([i.ReleaseNews] if config.platform else [])}
+        self._lacks: set[type] = {i.Started, i.ServerList}
+        if config.control.platform:
+            self._lacks.add(i.ReleaseNews)
         self._act: dict[type, Callable[[Any], Any]] = {
             i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
             i.SetTimer: self._set_timer, i.CloseIdle: self._close_idle, i.Vote: lambda a: self.vote(a),
--- a/loftroute/relay/platform.py
+++ b/loftroute/relay/platform.py
@@ -7,42 +7,60 @@
 from loftroute.protocol import ProtocolError, http1, pipeline
 from loftroute.protocol.catalog import Address
 from loftroute.relay.module import Module
-from loftroute.runtime.scheduler import Mailbox, Scheduler, actor
+from loftroute.runtime.scheduler import Mailbox, Scheduler, Task, actor
 from loftroute.runtime.stream import Closed, Expired, Stream
 
 
 class Changes:
-    """Keeps the stream of changes open. Nothing is written on it but the request that opens it."""
+    """Keeps the stream of changes open. Nothing is written on it but the request that opens it.
+
+    A task follows each address; the one for the latest ends the others once its own stream stands.
+    """
 
     def __init__(self, config: Config, scheduler: Scheduler, module: Module, address: Address) -> None:
         self._transport, self._scheduler, self._module = config.transport, scheduler, module
         self._address = address
+        self._tasks: list[Task] = []
         self.failures = 0
 
     def start(self) -> None:
-        self._scheduler.spawn("changes", self._run)
+        address = self._address
+        self._tasks.append(self._scheduler.spawn("changes", lambda: self._run(address)))
 
-    def _run(self) -> None:
-        while True:
+    def move(self, address: Address) -> None:
+        if address != self._address:
+            self._address = address
+            self.start()
+
+    def _run(self, address: Address) -> None:
+        while address == self._address:
             try:
-                self._follow()
+                self._follow(address)
             except (Closed, Expired, ProtocolError) as problem:
                 self.failures += 1
                 logger.debug("changes: {}", problem)
             self._scheduler.sleep(self._transport.again_after)
 
+    def _stands(self, address: Address) -> None:
+        """Told by the latest address: what follows the earlier ones ends."""
+        if address == self._address:
+            for task in self._tasks[:-1]:
+                self._scheduler.cancel(task)
+            del self._tasks[:-1]
+
     def _within(self) -> int:
         return self._scheduler.clock.now() + self._transport.life_within
 
-    def _follow(self) -> None:
+    def _follow(self, address: Address) -> None:
         limit, request = self._transport.document, http1.request(
-            "GET", pipeline.changes_target(), str(self._address))
-        stream = Stream.dial(self._scheduler, self._address, self._within(), limit=limit)
+            "GET", pipeline.changes_target(), str(address))
+        stream = Stream.dial(self._scheduler, address, self._within(), limit=limit)
         try:
             stream.send_all([request], self._within())
             head = stream.receive(http1.head, self._within())
             if head.status != 200 or not head.chunked:
                 raise ProtocolError(f"changes: status {head.status}")
+            self._stands(address)
             self._read(stream)
         finally:
             stream.close()
@@ -80,6 +98,10 @@
     def start(self) -> None:
         actor(self._scheduler, "votes", self.mailbox, self._run)
 
+    def move(self, address: Address) -> None:
+        """The next vote goes there; one under way ends where it is."""
+        self._address = address
+
     def _run(self) -> None:
         while True:
             while self.mailbox.items:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -127,6 +127,11 @@
     def get(self, handler: BaseHTTPRequestHandler) -> None: ...
     def post(self, handler: BaseHTTPRequestHandler, body: dict[str, Any]) -> None: ...
 
+    def shut(self) -> None:
+        """Take no new connection."""
+        self.server.shutdown()
+        self.server.server_close()
+
     @staticmethod
     def answer(handler: BaseHTTPRequestHandler, status: int, document: Any) -> None:
         body = document if isinstance(document, bytes) else json.dumps(document).encode()
@@ -260,13 +265,22 @@
             "known": self.discovery.listing(), "settings": self.settings,
         }
 
-    def start(self) -> None:
+    def write(self, text: str | None = None) -> Path:
         path = self.tmp / "config.json"
-        path.write_text(json.dumps(self.config()))
+        path.write_text(json.dumps(self.config()) if text is None else text)
+        return path
+
+    def reload(self, text: str | None = None) -> None:
+        self.write(text)
+        self.process.send_signal(signal.SIGHUP)
+
+    def start(self) -> None:
+        path = self.write()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.log = open(self.tmp / "log", "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(path)},
+            ["/bin/sh", "-c", run], cwd=ROOT,
+            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": self.discovery.address},
             stdout=self.log, stderr=self.log)
         eventually(self._ready)
 
