--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -1,8 +1,6 @@
-"""All decisions of loftroute: routing, refusals, health, the five rules and the release judge.
-
-The types that it takes and gives stand in loftroute/decision/interface.py, plain records in state.py. For the
-judge, Algorithm 3 of Yu et al., "A Note on Online Change Point Detection", see docs/design.md. All in ns.
-"""
+"""All decisions of loftroute: routing, refusals, health, the five rules and the release judge (Algorithm 3 of
+Yu et al., "A Note on Online Change Point Detection", see docs/design.md). All times in ns. The types that it
+takes and gives stand in loftroute/decision/interface.py, plain records in state.py."""
 
 from bisect import bisect
 from collections import deque
@@ -54,8 +52,8 @@
 class Scan:
     """Algorithm 3 behind a prefix: prefix sums, doubling windows, a threshold that grows with log t."""
 
-    def __init__(self, kind: str, prefix: list[Seen]) -> None:
-        self.kind, (self.beside, self.alone) = kind, SCANS[kind]
+    def __init__(self, kind: str, kept: list[Seen]) -> None:
+        self.kind, (self.beside, self.alone), prefix = kind, SCANS[kind], kept[-PREFIX:]
         self.level = sorted(o[3] for o in prefix)[len(prefix) * 7 // 8] if prefix else inf
         self.sums = [0, *accumulate(map(self.read, prefix))]  # the latest
         self.length, self.seen, self.alarm, self.half = len(prefix), 0, False, False
@@ -64,6 +62,7 @@
         # The least sub-Gaussian sigma for 0/1 values of the prefix's mean p, smoothed (Kearns and Saul).
         p = min((self.sums[-1] + 1.0) / (len(prefix) + 4.0), 0.45)
         self.sigma = sqrt((1 - 2 * p) / (2 * log((1 - p) / p)))
+        self.older, self.more = sum(map(self.read, kept)) - self.sums[-1] + 0.5, len(kept) - len(prefix) + 4
 
     def read(self, outcome: Seen) -> int:
         return int(outcome[3] > self.level) if self.kind == "slow" else outcome[1 + (self.kind == "errors")]
@@ -80,13 +79,15 @@
             self.bad.append((t, server))
         if t < SCAN_FROM or not self.last:
             return
-        bound, total = (self.beside if beside else self.alone) * self.sigma * sqrt(log(t / ALPHA)), sums[-1]
+        bound = (self.beside if beside else self.alone) * self.sigma * sqrt(nats := log(t / ALPHA))
         for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - 1):  # a 1 in each
             w = 1 << j
-            stat = sqrt(t / ((t - w) * w)) * ((t - w) / t * total - sums[-1 - w])  # above 0: it fails more
-            if stat > bound / 2:
+            k, e = sums[-1] - sums[-1 - w], (self.older + sums[-1 - w]) / (self.more + t - w) * w
+            stat = sqrt(t / ((t - w) * w)) * (k - w / t * sums[-1])  # above 0: it fails more
+            # Chernoff's bound: chance gives k where e is usual. Spoilt answers come to any build alike.
+            if stat > bound / 2 and k > e and (odd := k * log(k / e) - k + e) > nats / 4:
                 self.half = True
-                self.alarm |= stat > bound and self._stands_out((total - sums[-1 - w]) / w, w, look, bound)
+                self.alarm |= stat > bound and odd > nats and self._stands_out(k / w, w, look, bound)
 
     def _stands_out(self, rate: float, w: int, look: Callable, bound: float) -> bool:
         need, peers = look(self)
@@ -192,8 +193,7 @@
     # ---- the rules that bound where a request may go
 
     def _trial(self, build: int) -> bool:
-        news = self.news
-        if news is None:  # nothing told yet: the newest of several builds counts as on trial
+        if (news := self.news) is None:  # nothing told yet: the newest of several builds counts as on trial
             return build > min(self.builds, default=build)
         return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
@@ -202,8 +202,7 @@
 
     def _exposed(self, build: int, cls: int) -> bool:
         """Whether rule 5 lets an attempt of this class go to a build on trial now."""
-        news = self.news
-        stage = news.stage if news and news.build == build else 0
+        stage = news.stage if (news := self.news) and news.build == build else 0
         guarded = stage < self.rel.guarded_stages and self.cfg.classes[cls].effect is not Effect.SAFE
         return not guarded and self._cap(build) > 0 and (
             self.tokens.get((build, cls * self.rel.per_class), 0.0) >= 1.0)
@@ -452,7 +451,7 @@
 
     def _judge(self, attempt: Attempt, bad: int, hard: int, pace: float) -> None:
         news, build, seen = self.news, attempt.entry.build, (self.now, bad, hard, pace)
-        if attempt.warm:
+        if attempt.warm and not (news and build == news.build and news.phase not in JUDGED):
             self.outcomes.setdefault(build, deque(maxlen=PEERS)).append(seen)
         earlier = self.earlier(build)
         if not news or build != news.build or news.phase not in JUDGED or self.alarm or not earlier:
@@ -490,7 +489,7 @@
         self._split()
         if old is None or (old.build, old.stage, old.phase) != (news.build, news.stage, news.phase):
             self.stage_since = self.now - news.age
-            fresh = [Scan(kind, list(self.earlier(news.build))[-PREFIX:]) for kind in SCANS]
+            fresh = [Scan(kind, list(self.earlier(news.build))) for kind in SCANS]
             if old and old.build == news.build:
                 # Slowness goes on from stage to stage: later ones leave the earlier build idler than it was.
                 fresh = [a if a.kind == "slow" else b for a, b in zip(self.scans, fresh, strict=True)]
@@ -499,10 +498,10 @@
             self.scans = fresh
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
                 self.forward.clear()
+                self.outcomes.pop(news.build, None)
 
     def _wanted(self) -> Verdict:
-        news = self.news
-        if news is None or news.phase not in JUDGED:
+        if (news := self.news) is None or news.phase not in JUDGED:
             return Verdict.NONE
         if self.alarm:
             return Verdict.BACK
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -158,6 +158,7 @@
     easy_at: int = 0
     tokens: dict[tuple[int, int], float] = field(default_factory=dict)
     forward: dict[str, int] = field(default_factory=dict)
+    least: int = 0  # no server is of a lower build
     outcomes: dict[int, deque[Seen]] = field(default_factory=dict)
     alarm: bool = False
     ballot: Ballot | None = None
@@ -188,3 +189,17 @@
                     fresh.out, fresh.load, fresh.sent = known.out, known.load, known.sent
                 self.servers[entry.server] = known = fresh
             known.entry, known.listed = entry, entry.state is not ServerState.GONE
+        self._trim()
+
+    def _trim(self) -> None:
+        """What no decision can turn on is forgotten, however many servers, builds and keys come and go."""
+        self.servers = {number: server for number, server in self.servers.items()
+                        if server.listed or server.out or server.sent.total(self.now)}
+        builds = {server.entry.build for server in self.servers.values()}
+        for build in sorted(self.outcomes.keys() - builds)[:-2]:  # the last that left may be the earlier one
+            del self.outcomes[build]
+        self.tokens = {key: left for key, left in self.tokens.items() if key[0] in builds}
+        least = min(builds, default=0)
+        if least > self.least:
+            self.least = least
+            self.forward = {key: build for key, build in self.forward.items() if build > least}
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -71,6 +71,10 @@
         self.sends: dict[str, int] = {}
         self.batch(f"BOOT {name} {seed} {json.dumps(settings or setup())}")
 
+    @property
+    def instance(self) -> Balancer:
+        return self.adapter._instances[self.name]
+
     def batch(self, *lines: str) -> list[list[str]]:
         text = "\n".join([f"SYNC {self.now}", *lines, "OVER_TO_YOU", ""])
         out = io.StringIO()
