--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -20,7 +20,7 @@
 LONGEST = 8192  # the longest window, so that a stream takes no more memory however long it lasts
 # What is scanned (all that is bad, errors, answers slower for their work than most of the prefix), with its
 # multiplier beside an earlier build that answers now and without one; the Note's 2^{3/2} was not made small.
-SCANS = {"bad": (2.0, 2.0), "errors": (0.95, 0.95), "slow": (2.4, inf)}
+SCANS = {"bad": (2.0, 2.0), "errors": (1.22, 1.22), "slow": (2.4, inf)}
 SAMPLE, WAIT = 20, SECOND  # trial outcomes of a stage that speak for going on, or time after the bake
 RENEW_BEFORE = 0.3  # share of a vote's life that is left when it is renewed
 PEERLESS, PEERS, PEER_AGE = 8, 1024, 2 * SECOND  # earlier-build outcomes that tell its fault from the fleet's
@@ -49,6 +49,10 @@
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
 
 
+def odd(k: float, e: float) -> float:  # Chernoff's bound, in nats, on k rare events where e are usual
+    return k * log(k / e) - k + e if k > e else 0.0
+
+
 class Scan:
     """Algorithm 3 behind a prefix: prefix sums, doubling windows, a threshold that grows with log t."""
 
@@ -59,10 +63,10 @@
         self.length, self.seen, self.alarm, self.half = len(prefix), 0, False, False
         self.last = next((n for n in range(len(prefix), 0, -1) if self.read(prefix[n - 1])), 0)  # latest 1
         self.bad: deque[tuple[int, int]] = deque(maxlen=LONGEST)  # place and server of each 1
+        self.rare, self.rate = kind == "errors", (sum(map(self.read, kept)) + 0.5) / (len(kept) + 4)
         # The least sub-Gaussian sigma for 0/1 values of the prefix's mean p, smoothed (Kearns and Saul).
         p = min((self.sums[-1] + 1.0) / (len(prefix) + 4.0), 0.45)
-        self.sigma = sqrt((1 - 2 * p) / (2 * log((1 - p) / p)))
-        self.older, self.more = sum(map(self.read, kept)) - self.sums[-1] + 0.5, len(kept) - len(prefix) + 4
+        self.sigma = 1.0 if self.rare else sqrt((1 - 2 * p) / (2 * log((1 - p) / p)))
 
     def read(self, outcome: Seen) -> int:
         return int(outcome[3] > self.level) if self.kind == "slow" else outcome[1 + (self.kind == "errors")]
@@ -79,23 +83,23 @@
             self.bad.append((t, server))
         if t < SCAN_FROM or not self.last:
             return
-        bound = (self.beside if beside else self.alone) * self.sigma * sqrt(nats := log(t / ALPHA))
-        for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - 1):  # a 1 in each
-            w = 1 << j
-            k, e = sums[-1] - sums[-1 - w], (self.older + sums[-1 - w]) / (self.more + t - w) * w
-            stat = sqrt(t / ((t - w) * w)) * (k - w / t * sums[-1])  # above 0: it fails more
-            # Chernoff's bound: chance gives k where e is usual. Spoilt answers come to any build alike.
-            if stat > bound / 2 and k > e and (odd := k * log(k / e) - k + e) > nats / 4:
+        bound = log(t / ALPHA) * ((self.beside if beside else self.alone) * self.sigma) ** 2
+        for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - (not self.rare)):
+            k = sums[-1] - sums[-1 - (w := 1 << j)]  # in the window, above 0
+            stat = odd(k, self.rate * w) if self.rare else (
+                t / ((t - w) * w) * max(k - w / t * sums[-1], 0.0) ** 2)  # above 0: it fails more
+            if stat > bound / 4:
                 self.half = True
-                self.alarm |= stat > bound and odd > nats and self._stands_out(k / w, w, look, bound)
+                self.alarm |= stat > bound and self._stands_out(k, w, look, bound)
 
-    def _stands_out(self, rate: float, w: int, look: Callable, bound: float) -> bool:
+    def _stands_out(self, k: int, w: int, look: Callable, bound: float) -> bool:
         need, peers = look(self)
         n = min(len(peers), max(w, PEERLESS))  # the latest, as many as the window, so that a jolt meets both
         failing = [server for at, server in self.bad if at > self.length - max(w, 2 * PREFIX)]
-        usual, times = sum(peers[-n:]) / max(n, 1), 1 + (self.kind == "slow")  # long windows see all
-        return len(set(failing)) >= need and len(failing) >= 3 and (n < PEERLESS or (
-            sqrt(w * n / (w + n)) * (rate - usual) > bound / 2 and rate > usual * times))
+        usual, spread = sum(peers[-n:]) / max(n, 1), len(set(failing)) >= need and len(failing) >= 3
+        apart = odd(k, (usual * n + 0.5) / (n + 1) * w) if self.rare else w * n / (w + n) * (
+            k / w - usual) ** 2 * (k / w > usual * (1 + (self.kind == "slow")))  # long windows see all
+        return spread and (n < PEERLESS or apart > bound / 4)
 
 
 class Balancer(Memory):
@@ -203,9 +207,8 @@
     def _exposed(self, build: int, cls: int) -> bool:
         """Whether rule 5 lets an attempt of this class go to a build on trial now."""
         stage = news.stage if (news := self.news) and news.build == build else 0
-        guarded = stage < self.rel.guarded_stages and self.cfg.classes[cls].effect is not Effect.SAFE
-        return not guarded and self._cap(build) > 0 and (
-            self.tokens.get((build, cls * self.rel.per_class), 0.0) >= 1.0)
+        open_to = stage >= self.rel.guarded_stages or self.cfg.classes[cls].effect is Effect.SAFE
+        return open_to and self._cap(build) > 0 and self.tokens.get((build, cls * self.rel.per_class), 0) >= 1
 
     def _warmth(self, server: Server) -> float:  # the least share of its capacity that it may have now
         age = min(max(self.now - server.started, 0) / max(self.cfg.cold, 1), 1.0) if server.started else 1.0
@@ -214,11 +217,9 @@
     def _bears(self, server: Server, work: float) -> bool:
         """Rule 4 as this instance's part of the budget: what warm servers really finish for it, times the
         multiple and the share of capacity that a cold one has. An overload does not raise what is done."""
-        if server.warmth >= 1.0:
-            return True
         budget = COLD_PART * self.cfg.fall_multiple * server.warmth * self.usually * server.entry.weight
-        sent = server.sent.total(self.now)
-        return sent + work <= budget * self.cfg.fall or (not server.out and not sent)
+        return server.warmth >= 1.0 or (sent := server.sent.total(self.now)) + work <= (
+            budget * self.cfg.fall) or (not server.out and not sent)
 
     def _allowed(self, request: Request) -> list[Server]:
         """The servers at which the rules allow an attempt of this request now."""
@@ -326,8 +327,8 @@
                 return self._send(request, server)
         tried, allowed = {a.entry.server for a in request.attempts}, self._allowed(request)
         good = [s for s in allowed if self._serves(s)] or allowed
-        if self.alarm:  # a build voted back is kept away from while others can serve
-            good = [s for s in good if s.entry.build != self.news.build] or good
+        # A build voted back is kept away from while others can serve.
+        good = [s for s in good if not (self.alarm and s.entry.build == self.news.build)] or good
         good = [s for s in good if s.entry.server not in tried] or good
         if any(a.outcome is Outcome.CONNECT_FAILED for a in request.attempts):  # where one is surely open
             good = [s for s in good if s.heard > self.now - LINKED] or good
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -34,15 +34,13 @@
         window = 1
         while window <= t // 2:
             value = statistic(values, t - window)
-            k, e = sum(values[-window:]), window * (sum(values[:-window]) + 0.5) / (t - window + 4)
-            odd = k * log(k / e) - k + e if k > e else 0.0
-            half = half or (value > bound / 2 and odd > log(t / policy.ALPHA) / 4)
+            half = half or value > bound / 2
             stands_out = True
             if len(peers) >= policy.PEERLESS:
                 m = min(len(peers), max(window, policy.PEERLESS))
                 excess = sum(values[-window:]) / window - sum(peers[-m:]) / m
                 stands_out = sqrt(window * m / (window + m)) * excess > bound / 2
-            alarm = alarm or (value > bound and stands_out and odd > log(t / policy.ALPHA))
+            alarm = alarm or (value > bound and stands_out)
             window *= 2
     return alarm, half
 
