--- /dev/null
+++ b/tests/test_units.py
@@ -0,0 +1,139 @@
+"""Connections to an unit that are used again, on real sockets, turn by turn."""
+
+import contextlib
+import socket
+
+import pytest
+
+from loftroute.config import Transport
+from loftroute.decision import interface as i
+from loftroute.protocol import jobs
+from loftroute.protocol.catalog import Address, Listing
+from loftroute.relay.units import Attempt, Units
+from loftroute.runtime.clock import Clock
+from loftroute.runtime.scheduler import Scheduler
+
+SECOND = 1_000_000_000
+ANSWER = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n"
+
+
+class Bench:
+    """One unit, played by the test, and the pool of connections to it."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        self.peers: list[socket.socket] = []
+        self.scheduler = Scheduler(Clock(), self._failed)
+        self.units = Units(self.scheduler, Transport(warm=0), 16, ())
+        entry = i.ServerEntry(1, 0, 0, 0, 1, i.ServerState.READY, 0, 1.0)
+        self.units.listed(Listing(i.ServerList(i.ListKind.FULL, 1, (entry,)),
+                                  {1: Address(*self.listener.getsockname())}))
+        self.done: list[tuple[str, jobs.Answer]] = []
+
+    @staticmethod
+    def _failed(name: str, problem: Exception) -> None:
+        raise problem
+
+    def send(self, key: str) -> None:
+        head = memoryview(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\n%b\r\n$16\r\n%016d\r\n" % (key.encode(), 1))
+        job = jobs.Job("1", key, 0, 0, SECOND, False, None, head, memoryview(b""), b"c=read,", b"")
+        now = self.scheduler.clock.now()
+        self.units.send(Attempt(job, 0, 1, now, now + 5 * SECOND,
+                                lambda attempt, answer: self.done.append((attempt.job.key, answer))))
+
+    def turn(self) -> None:
+        self.scheduler.turn(self.scheduler.clock.now())
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self.peers.append(self.listener.accept()[0])
+
+    def until(self, true) -> None:
+        for _ in range(200):
+            if true():
+                return
+            self.turn()
+        raise AssertionError("it did not come true")
+
+    def asked(self, key: str) -> socket.socket:
+        """The connection on which this key has come."""
+        found = []
+
+        def look() -> bool:
+            for peer in self.peers:
+                peer.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    if b"\r\n%b\r\n" % key.encode() in peer.recv(4096):
+                        found.append(peer)
+            return bool(found)
+
+        self.until(look)
+        return found[0]
+
+    def values(self) -> list[tuple[str, bytes | None]]:
+        return [(key, bytes(answer.value) if answer.value is not None else None) for key, answer in self.done]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_a_second_copy_that_poll_has_not_told_of_is_not_the_next_answer(bench):
+    bench.send("a")
+    first = bench.asked("a")
+    first.sendall(ANSWER % (1, b"A"))
+    bench.until(lambda: bench.done)
+    first.sendall(ANSWER % (1, b"A"))  # behind the answer, before the sockets are looked at again
+    bench.send("b")
+    bench.asked("b").sendall(ANSWER % (1, b"B"))
+    bench.until(lambda: len(bench.done) == 2)
+    assert bench.values() == [("a", b"A"), ("b", b"B")]
+
+
+def test_noise_on_a_connection_that_rests_is_found_when_it_is_used_again(bench):
+    bench.send("a")
+    first = bench.asked("a")
+    first.sendall(ANSWER % (1, b"A"))
+    bench.until(lambda: bench.done)
+    bench.turn()
+    bench.turn()
+    first.sendall(ANSWER % (1, b"A"))
+    bench.send("b")
+    bench.asked("b").sendall(ANSWER % (1, b"B"))
+    bench.until(lambda: len(bench.done) == 2)
+    assert bench.values() == [("a", b"A"), ("b", b"B")] and bench.units.unasked == 1
+
+
+def test_a_clean_connection_is_used_again_once_the_sockets_were_looked_at(bench):
+    for key, value in (("a", b"A"), ("b", b"B"), ("c", b"C")):
+        bench.send(key)
+        bench.asked(key).sendall(ANSWER % (1, value))
+        bench.until(lambda key=key: bench.done and bench.done[-1][0] == key)
+    assert bench.units.dials == 1 and bench.values()[-1] == ("c", b"C")
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"-BUSY?!\r\n", b"-BUSY\r\n\x00noise", b"$-1\r\n", b"$3000000000\r\nxxxx", b"-" + b"x" * 2000,
+    b"*3\r\n$1\r\nA\r\n$1\r\nB\r\n$-1\r\n", b"*3\r\n$1\r\nABC", b"*-7\r\n", b"\xff\xfe",
+    b"-\xc3\xa9 failed\r\n",
+])
+def test_a_spoilt_answer_may_have_run_and_its_connection_is_closed_at_once(bench, spoilt):
+    bench.send("a")
+    peer = bench.asked("a")
+    peer.sendall(spoilt)
+    bench.until(lambda: bench.done)
+    (_, answer), = bench.done
+    assert answer.outcome is i.Outcome.RESET and answer.value is None
+    assert bench.units.open == 0
+
+
+def test_attempts_of_an_unit_that_is_gone_all_end(bench):
+    bench.units.transport = Transport(warm=0)
+    for n in range(20):  # more than it may have connections: some wait
+        bench.send(chr(97 + n))
+    bench.turn()
+    bench.units.listed(Listing(i.ServerList(i.ListKind.FULL, 2, ()), {}))
+    for peer in bench.peers:
+        peer.close()
+    bench.until(lambda: len(bench.done) == 20 and not bench.units.open)
