--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from loftroute.decision import interface as i
-from loftroute.protocol import ProtocolError, catalog, pipeline
+from loftroute.protocol import ProtocolError, catalog, pipeline, resp
 from loftroute.protocol.catalog import Address
 from loftroute.protocol.jobs import Names
 
@@ -213,6 +213,9 @@
     dial_timeout: int = 250_000_000
     gather: int = 1_000_000  # the sockets are not looked at more often than this
     idle: int = 3_000_000_000  # an idle connection to an unit is closed then
+    rests_seen: int = 8  # connections used again after like rests before anything is held against these
+    rests_break: float = 0.1  # share that breaks, beyond twice that of new connections
+    rests_kept: int = 10_000_000_000  # ... and for how long
     call_timeout: int = 2_000_000_000
     watch_wait: int = 1_000_000_000  # a watch is asked to wait so long
     watch_grace: int = 400_000_000  # ... and is given up when it is so much later
@@ -224,11 +227,17 @@
     chunk: int = 4096  # what a buffer starts with
     message: int = 1 << 18  # the longest command or answer
     document: int = 4 << 20  # the longest document of discovery or the platform
-    trim_after: int = 4_000_000_000  # a client that said nothing for so long is closed
+    patience: int = 2_200_000_000  # a client with no request open is closed after so long without a new one
+    trim_every: int = 200_000_000
+    linger: int = 300_000_000  # what a client sends behind an error is read for so long, then it is cut off
+    linger_bytes: int = 1 << 20  # ... or until it was so much
+    bad_in_row: int = 8  # bad requests of one client after which it is read from more seldom
+    come_again: int = 250_000_000  # what a client is told that is turned away for want of memory
     pipelined: int = 64  # commands of one client connection that wait for answers
     unsent: int = 1 << 18  # bytes that wait for a client before nothing more is read from it
     backlog: int = 1024
-    open_per_core: int = 128  # requests open at once: more only wait, and cost the core they wait for
+    program: int = 24 << 20  # memory that the program itself takes; the rest bounds the requests open
+    pauses: int = 4  # failures in a row after which that pause is whole; after the first there is none
     rest: int = 20_000_000  # a full door is looked at again after so long
     warm: int = 3  # connections to a unit that is new in the list, before it is sent anything
     quiet_after: int = 50_000_000  # a client that said nothing for so long may be closed to make room
@@ -238,6 +247,10 @@
     drain_quiet: int = 200_000_000  # ... and until none has come for so long
     drain_most: int = 1_200_000_000
 
+    def pause(self, row: int) -> int:
+        """How long to wait after so many failures in a row."""
+        return min(row - 1, self.pauses) * self.again_after // self.pauses
+
 
 @dataclass(frozen=True, slots=True)
 class Control:
@@ -347,14 +360,18 @@
 
 
 def _budget(limits: Section, ceilings: Section) -> Budget:
-    """Descriptors: some for the relay itself, three parts in ten for units, the rest for clients."""
+    """Descriptors: some for the relay itself, three parts in ten for units, the rest for clients.
+
+    Requests open at once: as many of the longest, with their answers, as half of the other memory holds.
+    """
     told = limits.whole("sockets", 1024)
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     rest = (told if soft == resource.RLIM_INFINITY else min(told, soft)) - 40
     if rest < 20:
         raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + 40}")
     units = rest * 3 // 10
-    most = min(units * 4 // 5, int(Transport().open_per_core * limits.number("cores", 1.0)))
+    memory = max(limits.whole("memory_mb", 192) << 20, 0) - Transport().program
+    most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)))
     return Budget(clients=rest - units, units=units, open=min(most, ceilings.whole("max_open", 0) or most))
 
 
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -25,8 +25,7 @@
 RENEW_BEFORE = 0.3  # share of a vote's life that is left when it is renewed
 PEERLESS, PEERS, PEER_AGE = 8, 1024, 2 * SECOND  # earlier-build outcomes that tell its fault from the fleet's
 
-# Learnt pace (time taken for the work): weight of an answer, of a failure, how many answers the zone's
-# weighs, what is left of their number each tick, how often as slow as the swift ones is out of favour.
+# Learnt pace (time for the work): steps, the zone's weight in answers, left each tick, out of favour beyond.
 PACE_STEP, FAIL_STEP, ZONE_TRUST, FADE, SLOW = 0.1, 0.15, 3.0, 0.98, 2.5
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
 TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
@@ -288,8 +287,8 @@
         for server in self.ready:
             server.pace.known *= FADE
             server.expect = server.pace.guess(self.zones[server.entry.zone].guess(self.pace, 1.0), ZONE_TRUST)
-        swift = sorted(s.expect for s in self.ready)[len(self.ready) // 4] if self.ready else self.pace
-        self.pace += 0.1 * (swift - self.pace)
+        swift = sorted(s.expect for s in self.ready) or [self.pace]
+        self.pace += 0.1 * (swift[len(swift) // 4] - self.pace)
         for server in self.ready:
             server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 4
 
@@ -397,7 +396,7 @@
             self._place(request)
 
     def _learn(self, server: Server, attempt: Attempt, event: i.AttemptEnded, request: Request | None):
-        outcome, took = event.outcome, event.latency
+        outcome, took, hard = event.outcome, event.latency, event.outcome in HARD
         if outcome not in (Outcome.TIMEOUT, Outcome.CANCELLED, Outcome.MOOT, Outcome.CONNECT_FAILED):
             # Whatever fell silent may have started anew: cold from now on, before the list says so.
             if server.ejections and self.now - server.heard > 4 * SECOND:
@@ -417,28 +416,27 @@
             server.ejected_until = server.ejections = 0
             if request and request.key is not None and self.rel.one_way:
                 self.forward[request.key] = max(attempt.entry.build, self.forward.get(request.key, 0))
-        if self.stall:  # how long it took tells of this instance, not of the server
+        # An own stall tells nothing of the server, nor does a request that fails at one after another.
+        if self.stall or (hard and request and any(a.outcome in HARD for a in request.attempts[:-1])):
             return
+        apart = server.fail_rate >= self.noise + min(self.noise, FAULTY)  # what comes to all tells none apart
         if outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and ratio > server.expect):
             server.pace.learn(ratio, PACE_STEP if outcome is Outcome.OK else FAIL_STEP)
             self.zones[server.entry.zone].learn(ratio, FAIL_STEP)
-        elif outcome in REFUSED and not self._trial(attempt.entry.build):  # the judge needs to see failures
-            server.pace.learn(FAILED * self.pace, FAIL_STEP)
+        elif outcome in REFUSED and (apart or not hard) and not self._trial(attempt.entry.build):  # judged
+            server.pace.learn(FAILED * self.clean, FAIL_STEP)
         if outcome is Outcome.OK and request:
             self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
+            self.clean += 0.01 * (min(ratio, SLOW * self.clean) - self.clean)
         if outcome in (Outcome.OK, *BAD):
             server.fail_rate += 0.1 * ((outcome in BAD) - server.fail_rate)
+            self.noise += 0.01 * ((outcome in BAD) - self.noise)
             late = request is not None and took > request.aim_at - request.arrived
             # A silent server is no fault of its build: a time-out counts once the server is heard again.
             if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent:
                 server.doubts += not server.ejected_until
             else:
-                self._judge(attempt, int(outcome in BAD or late), int(outcome in HARD), ratio)
-
-    def _eject(self, server: Server) -> None:
-        server.ejected_until = self.now + (length := min(EJECT_FOR << min(server.ejections, 5), EJECT_MAX))
-        server.ejections, server.doubts = server.ejections + 1, 0
-        self._do(i.Log(f"server {server.entry.server} set aside {length // MS} ms, no answer"))
+                self._judge(attempt, int(outcome in BAD or late), int(hard), ratio)
 
     def _silence(self) -> None:
         """Sets aside a server that answers nothing while attempts are out: silent, stopped or cut off."""
@@ -446,7 +444,9 @@
             oldest = next(iter(server.out.values()), None)
             if server.listed and oldest and not server.ejected_until and server.quiet(self.now) > max(
                     SILENT, SILENT_PACE * self.pace * oldest.work):
-                self._eject(server)
+                server.doubts, length = 0, min(EJECT_FOR << min(server.ejections, 5), EJECT_MAX)
+                server.ejected_until, server.ejections = self.now + length, server.ejections + 1
+                self._do(i.Log(f"server {server.entry.server} set aside {length // MS} ms, no answer"))
 
     # ---- the release judge
 
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -149,6 +149,8 @@
     sweeping: bool = False
     watch_tries: int = 0
     pace: float = 1.0
+    noise: float = 0.0  # share of all attempts that fail
+    clean: float = 1.0  # time taken for the work by the answers alone
     zones: defaultdict[int, Pace] = field(default_factory=lambda: defaultdict(Pace))
     wait: float = 0.0
     seen: int = 0
@@ -171,6 +173,13 @@
         """The outcomes kept of the build before this one."""
         return self.outcomes.get(max((b for b in self.outcomes if b < build), default=-1), ())
 
+    def beliefs(self) -> dict[str, int]:
+        """What it takes to be so, for a look at whether it is."""
+        listed = [server for server in self.servers.values() if server.listed]
+        return {"believed out": sum(len(server.out) for server in self.servers.values()),
+                "servers": len(listed), "set aside": sum(server.ejected_until > 0 for server in listed),
+                "seldom": sum(server.favour < 0.5 for server in listed)}
+
     def forget(self, event: ClientGone | AttemptEnded) -> None:
         """A request has ended."""
         self.requests.pop(event.request, None)
--- a/loftroute/protocol/__init__.py
+++ b/loftroute/protocol/__init__.py
@@ -1,8 +1,12 @@
 """Bytes into interface types and back; no input or output here."""
 
 import json
+from collections.abc import Mapping
+from math import isfinite
 from typing import Any, NoReturn
 
+WHOLE_LIMIT = 1 << 53  # a whole number in JSON
+
 
 class ProtocolError(Exception):
     """What a peer sent is not what the protocol allows."""
@@ -24,5 +28,23 @@
         raise ProtocolError(f"not JSON: {problem}") from problem
 
 
+def whole(raw: Mapping[str, Any], key: str, default: int | None = None) -> int:
+    """A whole number, not below 0; an absent or null key gets the default."""
+    value = raw.get(key)
+    value = default if value is None else value
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= WHOLE_LIMIT:
+        raise ValueError(f"{key}: a whole number wanted")
+    return value
+
+
+def figure(raw: Mapping[str, Any], key: str, default: float | None = None) -> float:
+    """A finite number, not below 0."""
+    value = raw.get(key)
+    value = default if value is None else value
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < 0:
+        raise ValueError(f"{key}: a number wanted")
+    return float(value)
+
+
 def _no_number(name: str) -> NoReturn:
     raise ValueError(f"not a number: {name}")
--- a/loftroute/protocol/catalog.py
+++ b/loftroute/protocol/catalog.py
@@ -1,14 +1,16 @@
 """Discovery's lists: JSON into the module's list events and the units' addresses."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from loftroute.decision import interface as i
-from loftroute.protocol import ProtocolError, from_json
+from loftroute.protocol import ProtocolError, figure, from_json, whole
 
 BUILDS = 65536
 ENTRIES_LIMIT = 10_000
+NAME_LIMIT = 256  # characters of an id
+NUMBERS_KEPT = 1024  # ids that are not listed and keep their numbers
 MS = 1_000_000  # nanoseconds
 
 STATES = {
@@ -49,44 +51,78 @@
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
     numbers: dict[str, int] = field(default_factory=dict)
+    _gone: dict[str, None] = field(default_factory=dict)  # not listed, the longest gone first
+    _forgotten: int = 0
 
     def read(self, body: bytes, cached: bool = False) -> Listing:
         return self.listing(from_json(body), cached)
 
     def listing(self, document: Any, cached: bool = False) -> Listing:
+        """All of it is read before a number is given out: a spoilt list changes nothing."""
         try:
-            raw, version = document["instances"], int(document["generation"])
+            raw, version = document["instances"], whole(document, "generation")
             kind = i.ListKind.FULL if document["reset"] else i.ListKind.DELTA
             if not isinstance(raw, list) or len(raw) > ENTRIES_LIMIT:
                 raise ValueError("instances: a list wanted")
-            addresses = {self._number(e["instanceId"]): address(e["hostPort"])
-                         for e in raw if e.get("hostPort")}
-            entries = tuple(self._entry(e) for e in raw)
+            named = {_name(e): (self._entry(e), _place(e)) for e in raw}
+            if len(named) != len(raw):
+                raise ValueError("instances: an id stands there twice")
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
             raise ProtocolError(f"catalog: {problem!r}") from problem
-        return Listing(i.ServerList(i.ListKind.CACHED if cached else kind, version, entries), addresses)
-
-    def _number(self, name: Any) -> int:
-        if not isinstance(name, str) or not name:
-            raise ValueError("instanceId: text wanted")
-        return self.numbers.setdefault(name, len(self.numbers) + 1)
+        entries, addresses = [], {}
+        for name, (entry, place) in named.items():
+            entry.server = self.numbers.setdefault(name, len(self.numbers) + self._forgotten + 1)
+            entries.append(entry)
+            if place:
+                addresses[entry.server] = place
+        gone = [n for n in self.numbers if n not in named] if kind is i.ListKind.FULL else []
+        self._note(gone + [n for n, (entry, _) in named.items() if entry.state is i.ServerState.GONE], named)
+        return Listing(
+            i.ServerList(i.ListKind.CACHED if cached else kind, version, tuple(entries)), addresses)
+
+    def _note(self, gone: list[str], named: Iterable[str]) -> None:
+        """Ids that are not listed lose their numbers once they are many; no number is given out twice."""
+        for name in named:
+            self._gone.pop(name, None)
+        self._gone.update(dict.fromkeys(gone))
+        for name in list(self._gone)[:max(len(self._gone) - NUMBERS_KEPT, 0)]:
+            del self._gone[name], self.numbers[name]
+            self._forgotten += 1
 
     def _entry(self, raw: Mapping[str, Any]) -> i.ServerEntry:
-        build = int(raw.get("release") or 0)
-        if not 0 <= build < BUILDS:
-            raise ValueError(f"release: {build}")
+        state = STATES[raw["lifecycle"]]
+        build = whole(raw, "release", 0 if state is i.ServerState.GONE else None)
+        weight = figure(raw, "weight", 1.0)
+        if build >= BUILDS or weight <= 0:
+            raise ValueError(f"release {build}, weight {weight}")
         return i.ServerEntry(
-            server=self._number(raw["instanceId"]),
+            server=0,
             zone=self.zones.get(raw.get("zone", ""), len(self.zones)),
-            cell=int(raw.get("cell") or 0),
+            cell=whole(raw, "cell", 0),
             kind=self.kinds.get(raw.get("machineType", ""), len(self.kinds)),
             build=build,
-            state=STATES[raw["lifecycle"]],
-            started=int(raw.get("startedAtMs") or 0) * MS,
-            weight=float(raw.get("weight", 1.0)),
+            state=state,
+            started=whole(raw, "startedAtMs", 0) * MS,
+            weight=weight,
         )
 
 
+def _name(raw: Mapping[str, Any]) -> str:
+    name = raw["instanceId"]
+    if not isinstance(name, str) or not 0 < len(name) <= NAME_LIMIT:
+        raise ValueError("instanceId: text wanted")
+    return name
+
+
+def _place(raw: Mapping[str, Any]) -> Address | None:
+    text = raw.get("hostPort")
+    if text is None or text == "":
+        return None
+    if not isinstance(text, str):
+        raise ValueError("hostPort: text wanted")
+    return address(text)
+
+
 def watch_target(version: int, wait_ms: int) -> str:
     return f"/catalog/members?index={version}&wait={wait_ms}"
 
--- a/loftroute/protocol/jobs.py
+++ b/loftroute/protocol/jobs.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 
 from loftroute.decision import interface as i
 from loftroute.protocol import ProtocolError, resp
@@ -18,6 +19,10 @@
     rb"(\$\d{1,5}\r\n(c=([!-+\--~]+),t=([!-+\--~]+),)d=(\d{1,9})((?:,[krh]=[!-+\--~]+)*)\r\n)")
 
 
+# An unit's word that it never ran or that it failed; with anything else behind it, neither is sure.
+REFUSAL = re.compile(r"(?P<busy>BUSY)(?: \d{1,9})?|[A-Z]+(?: [ -~]*)?")
+
+
 class BadRequest(ProtocolError):
     """Well framed, but a field is wrong: the client is told, and its connection stays."""
 
@@ -174,11 +179,10 @@
 def answer(value: resp.Value | resp.Served, report: tuple[str, ...]) -> Answer:
     if isinstance(value, resp.Served):
         return Answer(i.Outcome.OK, value.value, value.framed)
-    if isinstance(value, list) and len(value) == 3 and isinstance(value[0], memoryview):
+    if isinstance(value, list) and len(value) == 3 and isinstance(value[0], memoryview) and value[1] is None:
         return Answer(i.Outcome.OK, value[0], None, _load(value[2], report))
-    if isinstance(value, resp.Failure):
-        busy = value.text.split(" ", 1)[0] == "BUSY"
-        return Answer(i.Outcome.FULL if busy else i.Outcome.ERROR)
+    if isinstance(value, resp.Failure) and (found := REFUSAL.fullmatch(value.text)):
+        return Answer(i.Outcome.FULL if found["busy"] else i.Outcome.ERROR)
     raise ProtocolError("not an unit's answer")
 
 
@@ -188,6 +192,7 @@
         return None
     try:
         pairs = dict(part.strip().split("=", 1) for part in str(value, "utf-8").split(","))
-        return tuple(float(pairs[name]) for name in report)
+        load = tuple(float(pairs[name]) for name in report)
     except (ValueError, KeyError):
         return None
+    return load if all(isfinite(figure) and figure >= 0 for figure in load) else None
--- a/loftroute/protocol/pipeline.py
+++ b/loftroute/protocol/pipeline.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from loftroute.decision import interface as i
-from loftroute.protocol import ProtocolError, from_json
+from loftroute.protocol import ProtocolError, figure, from_json, whole
 
 MS = 1_000_000  # nanoseconds
 
@@ -41,9 +41,9 @@
     """The state of the newest build."""
     try:
         return i.ReleaseNews(
-            phase=PHASES[document["mode"]], age=int(document.get("old_ms") or 0) * MS,
-            stage=int(document["tranche"]), status=i.Outcome.OK, cap=float(document["exposure"]),
-            build=int(document["release"]), reply=reply,
+            phase=PHASES[document["mode"]], age=whole(document, "old_ms", 0) * MS,
+            stage=whole(document, "tranche"), status=i.Outcome.OK, cap=figure(document, "exposure"),
+            build=whole(document, "release"), reply=reply,
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
         raise ProtocolError(f"pipeline: {problem!r}") from problem
@@ -65,6 +65,8 @@
 def change(line: bytes) -> i.ReleaseNews | None:
     """One line of the changes; a sign of life tells nothing."""
     document = from_json(line)
-    if not isinstance(document, dict):
-        raise ProtocolError("pipeline: an object wanted")
-    return news(document.get("object")) if document.get("type") == "stage" else None
+    if document == {}:
+        return None
+    if not isinstance(document, dict) or document.get("type") != "stage":
+        raise ProtocolError("pipeline: a stage wanted")
+    return news(document.get("object"))
--- a/loftroute/protocol/resp.py
+++ b/loftroute/protocol/resp.py
@@ -175,11 +175,16 @@
         size, begin = _header(data, start + 4, end, 36, VALUE_LIMIT) if data[start + 5] != 45 else (-1, 0)
         stop = begin + size + 2
         if size >= 0 and end < stop + 10:
+            if end >= stop and data[stop - 2:stop] != b"\r\n":
+                raise ProtocolError("a value does not end where its length says")
             raise NeedMore(stop + 10 - start)
         if size >= 0 and data[stop - 2:stop + 10] == b"\r\n$-1\r\n$-1\r\n":
             view = memoryview(data)
             return Served(view[begin:stop - 2], view[start + 4:stop]), stop + 10
-    return parse(data, start, end)
+    value, after = parse(data, start, end)
+    if value is None:  # else it would be taken for one that is not whole yet
+        raise ProtocolError("null is no reply")
+    return value, after
 
 
 def status(text: str) -> list[Piece]:
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -50,7 +50,10 @@
         self.slots: deque[Slot] = deque()
         self.mailbox: Mailbox[Slot] = Mailbox(door.scheduler, self._transport.pipelined + 1)
         self._broken = False  # the framing is lost: nothing more is read
-        self.heard = door.scheduler.clock.now()
+        self._bad = 0  # bad requests since the last good one
+        self._rest_until: int | None = None  # not read from before then
+        self.useful = False  # a whole command has come
+        self.since = door.scheduler.looked  # the last command or answer, or the first byte of the next
         self.task: Task = door.scheduler.spawn("client", self._run)
         self.mailbox.owner = self.task
 
@@ -62,21 +65,41 @@
         """No command is open, none is half read and no answer is half written."""
         return not (self.slots or self._stream.unsent or len(self._stream.buffer) or self._stream.events)
 
+    @property
+    def owes(self) -> bool:
+        """Whether a request of it is open; one that broke the framing is owed nothing but its error."""
+        return bool(self.slots) and not self._broken
+
     def _run(self) -> None:
         stream = self._stream
         try:
             while True:
-                if stream.events or stream.buffer.end > stream.buffer.start:
+                if self._rest_until and self._rests():
+                    pass
+                elif stream.events or stream.buffer.end > stream.buffer.start:
                     self._read()
                     self._waited = 0
                 if self.mailbox.items or stream.unsent:
                     self._flush()
-                if stream.ended or ((self._broken or self._door.closing) and self._done()):
+                if stream.ended or (self._door.closing and self.between):
                     return
-                stream.wait(None, self._mask())
+                if self._broken and not (self.slots or stream.unsent):
+                    return self._linger()
+                stream.wait(self._rest_until, self._mask())
         finally:
             self._leave()
 
+    def _linger(self) -> None:
+        """All is said. What still comes is dropped for a while, since to close on what lies unread would take
+        the error away from a client that has not read it yet."""
+        stream, clock = self._stream, self._door.scheduler.clock
+        until, left = clock.now() + self._transport.linger, self._transport.linger_bytes
+        stream.finish()
+        stream.buffer.taken(stream.buffer.end)
+        while not stream.ended and left > 0 and clock.now() < until:
+            stream.wait(until, READ)
+            left -= stream.drop()
+
     def answered(self, slot: Slot) -> None:
         """An answer whose turn it is, with nothing before it unsent, is written at once."""
         stream = self._stream
@@ -85,6 +108,8 @@
             return
         self.slots.popleft()
         stream.write(slot.pieces)
+        if not self._broken:
+            self.since = self._door.scheduler.looked
         if self.slots or stream.unsent or stream.ended or self._door.closing:
             self.mailbox.put(slot)  # the task has something left to do
 
@@ -114,37 +139,58 @@
         self._leave()
         self._door.scheduler.cancel(self.task)
 
-    def _done(self) -> bool:
-        return not self.slots and not self._stream.unsent if self._broken else self.between
+    def overdue(self) -> None:
+        """It has had its time: a half command gets an error, whoever was not read to the end is cut off."""
+        if self._broken or self._stream.unsent or not len(self._stream.buffer):
+            return self.close()
+        self._door.halves += 1
+        self._break("ERR no whole command in time")
+        self._door.scheduler.wake(self.task)
+
+    def _break(self, text: str) -> None:
+        """The framing is lost: an error behind the answers that come soon, and nothing more is read."""
+        self._broken, self.since = True, self._door.scheduler.looked - self._transport.patience // 2
+        self._append().answer(resp.failure(text))
 
     def _mask(self) -> int:
-        reading = 0 if self._full() or self._broken else READ
+        reading = 0 if self._full() or self._broken or self._rest_until else READ
         return reading | (WRITE if self._stream.unsent else 0)
 
+    def _rests(self) -> bool:
+        if self._door.scheduler.clock.now() < self._rest_until:
+            return True
+        self._rest_until = None
+        self._stream.events |= READ
+        return False
+
     def _read(self) -> None:
-        self.heard = self._door.scheduler.clock.now()
+        if self._broken:
+            return
+        if self.useful and not len(self._stream.buffer):
+            self.since = self._door.scheduler.looked
         try:
             self._commands()
             for _ in range(16):  # then the others have their turn; poll tells again of what is left
-                if self._broken or not self._stream.events or self._full() or not self._stream.read():
+                if self._rest_until or not self._stream.events or self._full() or not self._stream.read():
                     return
                 self._commands()
         except ProtocolError as problem:
             self._door.malformed += 1
-            self._broken = True
-            self._append().answer(resp.failure(f"ERR {problem}"))
+            self._break(f"ERR {problem}")
 
     def _commands(self) -> None:
         buffer, names = self._stream.buffer, self._door.config.names
-        while buffer.end > buffer.start and not self._full():
+        while buffer.end > buffer.start and not self._full() and not self._rest_until:
             found = jobs.plain(buffer.data, buffer.start, buffer.end, names)
             if found:
                 buffer.taken(found[1])
+                self.useful = True
                 self._hand_on(self._append(), found[0])
                 continue
             command = buffer.parse(resp.command)
             if command is None:
                 return
+            self.useful, self.since = True, self._door.scheduler.looked
             self._command(command)
 
     def _append(self) -> Slot:
@@ -159,18 +205,26 @@
         elif verb == b"PING":
             slot.answer(resp.status("PONG") if self._door.module.ready else resp.failure("LOADING"))
         else:
-            slot.answer(resp.failure("ERR unknown command"))
+            self._refuse(slot, "unknown command")
+
+    def _refuse(self, slot: Slot, text: str) -> None:
+        """An error for a bad command whose framing is whole. Who sends one after another is read from more
+        seldom, so that the others are not kept waiting."""
+        self._door.bad += 1
+        self._bad += 1
+        if self._bad >= self._transport.bad_in_row:
+            self._rest_until = self._door.scheduler.clock.now() + self._transport.rest
+        slot.answer(resp.failure(f"ERR {text}"))
 
     def _take(self, slot: Slot, command: resp.Command) -> None:
         try:
             job = jobs.read(command, self._door.config.names)
         except BadRequest as problem:
-            self._door.bad += 1
-            return slot.answer(resp.failure(f"ERR {problem}"))
+            return self._refuse(slot, str(problem))
         self._hand_on(slot, job)
 
     def _hand_on(self, slot: Slot, job: Job) -> None:
-        slot.job = job
+        slot.job, self._bad = job, 0
         self._door.module.request(job, slot, max(self._door.scheduler.lag, self._waited))
 
     def _flush(self) -> None:
@@ -192,17 +246,21 @@
         self.connections: set[Connection] = set()
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._search_at = self._shut_since = 0
-        self.malformed = self.crowded = 0
+        self.malformed = self.crowded = self.halves = self.turned = 0
         self.bad = 0
         self.closing = False
         self._task = scheduler.spawn("listener", self._run)
+        self._trim()
 
     def _run(self) -> None:
         while True:
             if self._accept_all():
                 self._shut_since = 0
             else:
-                self._shut_since = self._shut_since or self.scheduler.clock.now()
+                now = self.scheduler.clock.now()
+                self._shut_since = self._shut_since or now
+                if now - self._shut_since > self.config.transport.patience // 2:
+                    self._turn_away()
                 self._listener.rest(self.config.transport.rest)
             self._listener.wait()
 
@@ -222,8 +280,22 @@
             self.connections.add(Connection(self, stream, waited))
         return False
 
+    def _turn_away(self) -> None:
+        """Nobody who is here can be closed, and who waits outside must not wait for ever."""
+        transport = self.config.transport
+        for _ in range(transport.pipelined):
+            try:
+                stream = self._listener.accept(transport.chunk, transport.message)
+            except OSError:
+                return
+            if stream is None:
+                return
+            self.turned += 1
+            stream.write(resp.failure("BUSY"))
+            stream.close()
+
     def _room(self) -> bool:
-        """Within the bound, if need be by closing connections that have long stood between requests."""
+        """Within the bound, if need be by closing connections that wait for nothing."""
         if len(self.connections) < self.config.budget.clients:
             return True
         now = self.scheduler.clock.now()
@@ -231,7 +303,11 @@
             return False
         transport = self.config.transport
         self._search_at, old = now + transport.rest // 2, now - transport.quiet_after
-        self._close_idle(old)
+        found = [c for c in self.connections if c.since < old and not c.owes]
+        found.sort(key=lambda c: (c.useful, c.since))  # those first that never asked anything
+        for connection in found[:max(8, self.config.budget.clients // 16)]:
+            if not connection.between or connection.silent():
+                connection.close()
         if len(self.connections) < self.config.budget.clients:
             return True
         self.crowded += 1
@@ -240,14 +316,13 @@
     def lost(self, connection: Connection) -> None:
         self.connections.discard(connection)
 
-    def trim(self) -> None:
-        """Close connections that have long stood between requests: each costs a look at every turn."""
-        self._close_idle(self.scheduler.clock.now() - self.config.transport.trim_after)
-
-    def _close_idle(self, old: int) -> None:
-        for idle in [c for c in self.connections if c.heard < old and c.between]:
-            if idle.silent():
-                idle.close()
+    def _trim(self) -> None:
+        """End connections that have no request open and brought no whole one for long."""
+        old = self.scheduler.clock.now() - self.config.transport.patience
+        for late in [c for c in self.connections if c.since < old and not c.owes]:
+            if not late.between or late.silent():
+                late.overdue()
+        self.scheduler.at(self.scheduler.clock.now() + self.config.transport.trim_every, self._trim)
 
     def close(self) -> None:
         """Take what still waits, then no more; each connection ends once it is between requests."""
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -25,6 +25,7 @@
         self._version: int | None = config.known.event.version if config.known else None
         self._stream: Stream | None = None
         self.failures = self.answers = self.old = 0
+        self._row = 0  # failures since the last answer
         self.mailbox: Mailbox[i.Watch | i.Fetch] = Mailbox(scheduler, config.transport.mailbox)
 
     def start(self) -> None:
@@ -51,7 +52,7 @@
                 self._hang_up()
                 if not self._moved:
                     self._broken(problem)
-                    self._scheduler.sleep(self._transport.again_after)
+                    self._scheduler.sleep(self._transport.pause(self._row))
 
     def _orders(self) -> None:
         while self.mailbox.items:
@@ -68,6 +69,7 @@
 
     def _broken(self, problem: Exception) -> None:
         self.failures += 1
+        self._row += 1
         logger.debug("discovery: {}", problem)
         if self._ask:  # only who has asked is told, and asks again when it wants to
             self._on = self._fetch = False
@@ -93,6 +95,7 @@
 
     def _tell(self, listing: catalog.Listing) -> None:
         self.answers += 1
+        self._row = 0
         event = listing.event
         if self._version is not None and event.version < self._version:
             self.old += 1  # an agent that lags behind what is known
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -29,7 +29,8 @@
         self.scheduler = Scheduler(Clock(), self._failed, gather=config.transport.gather)
         self.units = Units(
             self.scheduler, config.transport, config.budget.units, config.settings.report_fields)
-        self.module = Module(config, self.scheduler, Balancer(config.settings, config.seed), self.units)
+        self.balancer = Balancer(config.settings, config.seed)
+        self.module = Module(config, self.scheduler, self.balancer, self.units)
         self.clients = Clients(config, self.scheduler, self.module)
         self.discovery = Discovery(config, self.scheduler, self.module)
         self.changes: Changes | None = None
@@ -109,7 +110,6 @@
         report_at = clock.now() + every
         while not self.ending:
             self.scheduler.park(clock.now() + 1000 * MS)
-            self.clients.trim()
             if clock.now() >= report_at:
                 report_at += every
                 self.report()
@@ -138,11 +138,15 @@
         used = resource.getrusage(resource.RUSAGE_SELF)
         scheduler = self.scheduler
         figures = {
-            "open": len(self.module.open), "clients": len(self.clients.connections),
+            "open": len(self.module.open), "attempts out": self.units.out(), **self.balancer.beliefs(),
+            "clients": len(self.clients.connections),
             "units": self.units.open, "dials": self.units.dials,
-            "lag ms": round(scheduler.worst_lag / MS, 1), "memory MB": used.ru_maxrss // 1024,
+            "lag ms": round(scheduler.worst_lag / MS, 1), "memory MB": _resident(),
+            "most": used.ru_maxrss // 1024,
             "cpu s": round(used.ru_utime + used.ru_stime, 1), "task failures": scheduler.failures,
-            "bad requests": self.clients.bad, "malformed": self.clients.malformed + self.units.malformed,
+            "bad requests": self.clients.bad, "malformed": self.clients.malformed,
+            "half commands": self.clients.halves, "closed unread": self.clients.turned,
+            "spoilt answers": self.units.malformed, "unasked answers": self.units.unasked,
             "crowded": self.units.crowded + self.clients.crowded,
             "lists": self.discovery.answers, "old lists": self.discovery.old, "reloads": self.reloads,
             "turns": scheduler.turns,
@@ -155,6 +159,15 @@
         logger.info("state: {}", ", ".join(f"{name} {value}" for name, value in figures.items()))
 
 
+def _resident() -> int:
+    """Megabytes of memory now; 0 where the machine does not tell."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize() >> 20
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
 def log_to_stderr() -> None:
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -53,6 +53,8 @@
         self.count: Counter[str] = Counter()
         self.requests = self.served = 0
         self._most, self._lone = config.budget.open, not config.settings.second_copies
+        self._longest = [c.deadline for c in config.settings.classes]
+        self._come_again = min(config.transport.come_again, config.settings.max_retry_after) // MS
         self._attempts = config.settings.max_attempts
         self._news: i.ReleaseNews | None = None
         self._lacks: set[type] = {i.Started, i.ServerList}
@@ -102,22 +104,26 @@
         """Take a request; it may have lain unread for as long as `waited`."""
         if len(self.open) >= self._most:
             self.count["turned away"] += 1
-            return ticket.refused(0)
+            return ticket.refused(self._come_again if self._config.settings.retry_after else 0)
         if job.id in self.open:
             self.count["id in use"] += 1
             return ticket.failed()
-        left = max(job.left - waited - self._transport.spare, MS)
+        left = max(min(job.left, self._longest[job.cls]) - waited - self._transport.spare, MS)
         self.open[job.id] = Open(job, ticket, self._scheduler.clock.now() + left, [])
         self.requests += 1
         self.mailbox.put(job.event(left))
 
     def gone(self, job: Job) -> None:
-        """The client has left; its attempts go on until they end by themselves."""
+        """The client has left. What was sent goes on until it ends by itself, so that its connection can be
+        used again; what was not sent ends now."""
         held = self.open.get(job.id)
         if held and held.job is job:
             self._close(job.id)
             self.count["clients gone"] += 1
             self.mailbox.put(i.ClientGone(job.id))
+            for attempt in held.attempts:
+                if not (attempt.ended or attempt.written):
+                    attempt.cancel()
 
     def listing(self, listing: Listing) -> None:
         self._units.listed(listing)
--- a/loftroute/relay/platform.py
+++ b/loftroute/relay/platform.py
@@ -22,6 +22,7 @@
         self._address = address
         self._tasks: list[Task] = []
         self.failures = 0
+        self._row = 0  # failures since the last line
 
     def start(self) -> None:
         address = self._address
@@ -38,8 +39,9 @@
                 self._follow(address)
             except (Closed, Expired, ProtocolError) as problem:
                 self.failures += 1
+                self._row += 1
                 logger.debug("changes: {}", problem)
-            self._scheduler.sleep(self._transport.again_after)
+            self._scheduler.sleep(self._transport.pause(self._row))
 
     def _stands(self, address: Address) -> None:
         """Told by the latest address: what follows the earlier ones ends."""
@@ -82,6 +84,7 @@
         if not line:
             return
         news = pipeline.change(line)
+        self._row = 0
         if news:
             self._module.news(news)
 
--- /dev/null
+++ b/loftroute/relay/rests.py
@@ -0,0 +1,51 @@
+"""How long a connection may rest and still be used again, as the sockets tell."""
+
+from loftroute.config import Transport
+
+MS = 1_000_000  # nanoseconds
+
+
+class Rests:
+    """Some machines on the way drop a connection that rests, without a word: the next request on it is reset.
+
+    Rests are told apart by doublings of a millisecond; the first place stands for new connections. Where
+    clearly more of them break than of the new ones, none is used after such a rest, for a while.
+    """
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+        places = (transport.idle // MS).bit_length() + 2
+        self._used, self._broke = [0] * places, [0] * places
+        self.limit = transport.idle
+        self._until = 0
+
+    def _place(self, rest: int | None) -> int:
+        return 0 if rest is None else min((rest // MS).bit_length() + 1, len(self._used) - 1)
+
+    def ended(self, rest: int | None, broke: bool, now: int) -> None:
+        """An attempt has ended on a connection that had rested so long, or was new."""
+        if self.limit < self._transport.idle and now >= self._until:
+            self._forget()
+        place = self._place(rest)
+        self._used[place] += 1
+        self._broke[place] += broke
+        if self._used[place] >= 8 * self._transport.rests_seen:  # what was long ago counts less
+            self._used[place] //= 2
+            self._broke[place] //= 2
+        if broke and place > 1:
+            self._judge(place, now)
+
+    def _share(self, place: int) -> float:
+        return self._broke[place] / max(self._used[place], 1)
+
+    def _judge(self, place: int, now: int) -> None:
+        seen, bound = self._transport.rests_seen, self._transport.rests_break + 2 * self._share(0)
+        if self._used[place] >= seen and self._share(place) > bound:
+            self.limit = min(self.limit, MS << place - 2)
+            self._until = now + self._transport.rests_kept
+
+    def _forget(self) -> None:
+        """Things may have changed: longer rests are tried again."""
+        self.limit = self._transport.idle
+        for place in range(1, len(self._used)):
+            self._used[place] = self._broke[place] = 0
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -10,6 +10,7 @@
 from loftroute.protocol import ProtocolError, resp
 from loftroute.protocol.catalog import Address, Listing
 from loftroute.protocol.jobs import Answer, Job, answer
+from loftroute.relay.rests import Rests
 from loftroute.runtime.scheduler import Mailbox, Scheduler, actor
 from loftroute.runtime.stream import Closed, Expired, Stream
 
@@ -56,7 +57,9 @@
         if attempt:
             attempt.connection = self
         unit.connections.add(self)
-        self.dialling, self._begun = True, False
+        self.dialling, self._begun, self._rested = True, False, 0
+        self._rests_since = self._scheduler.looked
+        self._rest: int | None = None  # how long it had rested before its attempt; None where it is new
         unit.pool.open += 1
         self.task = self._scheduler.spawn(f"unit {unit.server}", self._run)
 
@@ -71,9 +74,9 @@
 
     def _serve_all(self) -> None:
         self._dial()
-        if self.attempt is None and not self._rest():
+        if self.attempt is None and not self._wait_idle():
             return
-        while self.attempt and self._serve(self.attempt) and self._rest():
+        while self.attempt and self._serve(self.attempt) and self._wait_idle():
             pass
 
     def _dial(self) -> None:
@@ -95,6 +98,7 @@
         """Write the request and read its answer; whether the connection is good for another."""
         if not self._begun and self._stream.stale():
             self._drop()  # while it was idle it was closed, or said what nobody asked: nothing was sent
+            self._rest = None
             self._dial()
         stream = self._stream
         try:
@@ -111,32 +115,40 @@
         return attempt.job.attempt(attempt.until - attempt.written)
 
     def _answer(self, stream: Stream, attempt: Attempt) -> bool:
+        broke = False
         try:
             result = answer(stream.receive(resp.reply, attempt.until), self._pool.report)
         except Expired:
             result = Answer(i.Outcome.TIMEOUT)
         except Closed:
+            broke = not len(stream.buffer)
             result = Answer(i.Outcome.RESET)
         except ProtocolError:
             self._pool.malformed += 1
             result = Answer(i.Outcome.RESET)
         else:
+            if result.outcome is i.Outcome.FULL and len(stream.buffer):  # was it a refusal at all?
+                self._pool.malformed += 1
+                result = Answer(i.Outcome.RESET)
+            self._pool.rests.ended(self._rest, False, self._scheduler.looked)
+            clean = not len(stream.buffer)
+            if not clean:
+                self._drop()  # more than belongs to it: of no further use
             self._finish(result)
-            return not len(stream.buffer)
+            return clean
+        self._pool.rests.ended(self._rest, broke, self._scheduler.looked)
         self._drop()  # before another attempt can be sent: else that is a second copy
         if result.outcome is i.Outcome.TIMEOUT:
             self._scheduler.sleep(self._pool.transport.close_grace)
         self._finish(result)
         return False
 
-    def _rest(self) -> bool:
+    def _wait_idle(self) -> bool:
         """Wait idle for the next attempt; False once the connection has ended or was idle for long."""
-        self._begun = False
-        if attempt := self._unit.next_waiting():
-            self.attempt, attempt.connection = attempt, self
-            return True
-        until = self._scheduler.clock.now() + self._pool.transport.idle
-        self._unit.idle.append(self)
+        self._begun, self._rested = False, self._scheduler.turns
+        self._rests_since = self._scheduler.looked
+        until = self._rests_since + self._pool.rests.limit
+        self._unit.rests(self)
         while self.attempt is None:
             self._stream.wait(until)
             if self.attempt is None and (self._stream.stale() or self._scheduler.clock.now() >= until):
@@ -166,12 +178,25 @@
         if self in self._unit.connections:
             self._unit.lost(self)
 
+    @property
+    def settled(self) -> bool:
+        """Whether the sockets were looked at since its last answer: a second copy of that, or noise behind
+        it, would else be read as the answer to the next request."""
+        return self._rested < self._scheduler.turns
+
+    @property
+    def rest(self) -> int:
+        """How long it has been idle."""
+        return self._scheduler.looked - self._rests_since
+
     def take(self, attempt: Attempt) -> None:
         """An idle connection's next attempt. It is written at once, since nothing stands before it; the task
         is woken by the answer, or to go on where not all was written."""
         self.attempt, attempt.connection = attempt, self
-        stream = self._stream
-        if not stream.events:
+        stream, self._rest = self._stream, self.rest
+        if stream.look():
+            self._pool.unasked += 1
+        else:
             self._begun = True
             stream.write(self._words(attempt))
             if not stream.unsent:
@@ -197,7 +222,7 @@
         actor(pool.scheduler, f"unit {server}", self.mailbox, self._run)
 
     def _run(self) -> None:
-        while not self.ended:
+        while True:
             while self.mailbox.items:
                 message = self.mailbox.items.popleft()
                 if isinstance(message, Attempt):
@@ -206,8 +231,34 @@
                     self._close_idle()
                 else:
                     self._stop_dials()
+            if self.ended:
+                return
             self._expire()
-            self.pool.scheduler.park(min(map(self._patience, self.waiting)) if self.waiting else None)
+            while self.waiting and (connection := self.settled()):
+                connection.take(self.waiting.popleft())
+            self.pool.scheduler.park(self._look_again())
+
+    def _look_again(self) -> int | None:
+        if not self.waiting:
+            return None
+        if self.idle:  # they settle in the next turn
+            return self.pool.scheduler.clock.now()
+        return min(map(self._patience, self.waiting))
+
+    def settled(self) -> Connection | None:
+        """The latest idle connection that is surely clean: the others may grow old and close."""
+        for connection in reversed(self.idle):
+            if connection.settled:
+                if connection.rest > self.pool.rests.limit:
+                    return None  # it ends by itself, as do the older ones
+                self.idle.remove(connection)
+                return connection
+        return None
+
+    def rests(self, connection: Connection) -> None:
+        self.idle.append(connection)
+        if self.waiting and self.mailbox.owner:
+            self.pool.scheduler.wake(self.mailbox.owner)
 
     def _patience(self, attempt: Attempt) -> int:
         """An attempt waits for a connection as long as a dial may take."""
@@ -219,11 +270,6 @@
             self.waiting.remove(attempt)
             attempt.finish(NEVER_RAN)
 
-    def next_waiting(self) -> Attempt | None:
-        if self.waiting:
-            self._expire()
-        return self.waiting.popleft() if self.waiting else None
-
     def warm(self) -> None:
         """Have some connections before the first attempts come, which else would all wait for theirs."""
         for _ in range(self.pool.transport.warm):
@@ -244,11 +290,12 @@
         """An idle connection, a new one, or the next that is free: each as a dial that takes no longer."""
         if attempt.cancelled:
             return attempt.finish(Answer(i.Outcome.CANCELLED))
-        if self.idle:
-            return self.idle.pop().take(attempt)
+        if connection := self.settled():
+            return connection.take(attempt)
         if self.address is None:
             return attempt.finish(NEVER_RAN)
-        if len(self.connections) < self.pool.share() and self.pool.room():
+        few = len(self.idle) <= len(self.waiting)  # else one settles for it in the next turn
+        if few and len(self.connections) < self.pool.share() and self.pool.room():
             Connection(self, attempt)
         else:
             self.waiting.append(attempt)
@@ -286,10 +333,11 @@
     ) -> None:
         self.scheduler, self.transport, self.report = scheduler, transport, report
         self._bound = bound
+        self.rests = Rests(transport)
         self.units: dict[int, Unit] = {}
         self.open = 0  # connections, each with its descriptor
         self.dials = 0
-        self.malformed = 0
+        self.malformed = self.unasked = 0
         self.crowded = 0
 
     def share(self) -> int:
@@ -307,6 +355,11 @@
         self.crowded += 1
         return False
 
+    def out(self) -> int:
+        """Attempts that are with an unit or wait for a connection to it."""
+        return sum(len(unit.waiting) + sum(c.attempt is not None for c in unit.connections)
+                   for unit in self.units.values())
+
     def listed(self, listing: Listing) -> None:
         """Follow the list: addresses, and no dial to what drains or is gone."""
         if listing.event.kind in (i.ListKind.FULL, i.ListKind.CACHED):
@@ -337,7 +390,7 @@
     def send(self, attempt: Attempt) -> None:
         """An idle connection takes the attempt at once; else the unit's actor sees to one."""
         unit = self.units.get(attempt.server)
-        if unit is not None and unit.idle and not unit.mailbox.items:
-            unit.idle.pop().take(attempt)  # the latest: the others may grow old and close
+        if unit is not None and not unit.mailbox.items and (connection := unit.settled()):
+            connection.take(attempt)
         elif unit is None or not unit.mailbox.put(attempt):
             attempt.finish(NEVER_RAN)
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -100,6 +100,7 @@
         self._running = False
         self.failures = self.turns = 0
         self.lag = self.worst_lag = 0
+        self.looked = clock.now()  # when the sockets were last looked at
 
     # ---- tasks
 
@@ -223,7 +224,7 @@
         if self._timers and self._timers[0][0] < latest:
             latest = max(begun, self._timers[0][0])
         events = self._poller.poll(-(-(latest - begun) // MS))
-        now = self.clock.now()
+        now = self.looked = self.clock.now()
         # What is read now came no earlier than this: the last look ended, or the wait should have.
         self.lag = max(0, begun - ended - self._gather) + max(0, now - latest)
         self.worst_lag = max(self.worst_lag, self.lag)
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -1,5 +1,6 @@
 """Sockets and the buffers that they are read into. Nothing here blocks but by parking the task."""
 
+import contextlib
 import errno
 import socket
 from collections import deque
@@ -12,6 +13,8 @@
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.scheduler import BROKEN, READ, WRITE, Scheduler, Task
 
+WASTE = bytearray(1 << 16)  # what is read into it is of no use to anybody
+
 Message = TypeVar("Message")
 Parser = Callable[[bytearray, int, int], tuple[Message, int]]
 
@@ -141,7 +144,31 @@
 
     def stale(self) -> bool:
         """Whether an idle connection has ended, or its peer has said what nobody asked."""
-        return self.closed or self.ended or (self.events != 0 and (self.read() or self.ended))
+        if self.closed or self.ended or self.buffer.end > self.buffer.start:
+            return True
+        return self.events != 0 and (self.read() or self.ended)
+
+    def look(self) -> bool:
+        """The same of the socket itself, whatever poll has said so far."""
+        self.events |= READ
+        return self.stale()
+
+    def finish(self) -> None:
+        """Say nothing more; the peer may still write."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def drop(self) -> int:
+        """Read once and forget it; how many bytes that were."""
+        self.events = 0
+        try:
+            count = self._sock.recv_into(WASTE)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            count = 0
+        self.ended = self.ended or not count
+        return count
 
     def write(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Send now what can be, keep the rest: slices stay valid, so that nothing is copied."""
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -186,6 +186,9 @@
 
 @pytest.mark.parametrize("change", [
     {"instanceId": 7}, {"hostPort": "nowhere"}, {"lifecycle": "LOST"}, {"release": -1}, {"weight": "big"},
+    {"release": None}, {"release": "41"}, {"release": True}, {"release": 41.5}, {"weight": 0},
+    {"weight": 1e400},
+    {"startedAtMs": -1}, {"cell": "3"}, {"hostPort": 6379}, {"lifecycle": ["SERVING"]}, {"instanceId": ""},
 ])
 def test_a_list_that_is_not_one_is_refused(change):
     listing = {"generation": 7, "reset": True, "instances": [{**ENTRY, **change}]}
@@ -193,6 +196,51 @@
         catalog.Catalog({}, {}).read(json.dumps(listing).encode())
 
 
+def test_a_spoilt_list_gives_out_no_number_and_an_id_may_stand_there_once():
+    known = catalog.Catalog({}, {})
+    for more in ({**ENTRY, "instanceId": "s-2", "release": "x"}, ENTRY):
+        with pytest.raises(ProtocolError):
+            known.listing({"generation": 7, "reset": True, "instances": [ENTRY, more]})
+    assert not known.numbers
+    for version in ("8", 8.5, -1, None, True):
+        with pytest.raises(ProtocolError):
+            known.listing({"generation": version, "reset": False, "instances": [ENTRY]})
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_ids_that_came_and_went_are_forgotten_and_no_number_comes_twice(reset):
+    known, seen = catalog.Catalog({}, {}), set()
+    for n in range(4 * catalog.NUMBERS_KEPT):
+        listed = [{**ENTRY, "instanceId": f"s-{n}"}]
+        if not reset and n:
+            listed.append({**ENTRY, "instanceId": f"s-{n - 1}", "lifecycle": "DELETED"})
+        found = known.listing({"generation": n, "reset": reset, "instances": listed})
+        seen.add(found.event.entries[0].server)
+    assert len(seen) == 4 * catalog.NUMBERS_KEPT and len(known.numbers) <= catalog.NUMBERS_KEPT + 2
+
+
+def test_a_load_report_that_can_t_be_read_is_left_out_and_the_answer_stands():
+    for report in (b"cpu=nan", b"cpu=inf", b"cpu=-1", b"cpu", b"\xff", b"cpu=1e999"):
+        raw = b"*3\r\n$1\r\nA\r\n$-1\r\n$%d\r\n%b\r\n" % (len(report), report)
+        found = jobs.answer(resp.reply(bytearray(raw), 0, len(raw))[0], ("cpu",))
+        assert found.outcome is i.Outcome.OK and found.load is None and bytes(found.value) == b"A"
+
+
+@quick
+@given(st.binary(max_size=80), st.integers(0, 30))
+def test_no_value_of_a_spoilt_answer_is_read_beyond_what_its_framing_says(noise, at):
+    whole = b"*3\r\n$5\r\nVALUE\r\n$-1\r\n$-1\r\n"
+    raw = bytearray(whole[:at] + noise)
+    try:
+        value, after = resp.reply(raw, 0, len(raw))
+        found = jobs.answer(value, ())
+    except (NeedMore, ProtocolError):
+        return
+    assert after <= len(raw)
+    if found.outcome is i.Outcome.OK:
+        assert bytes(raw).startswith(b"*3\r\n$%d\r\n%b\r\n" % (len(found.value), bytes(found.value)))
+
+
 STATE = {"release": 42, "tranche": 1, "mode": "Aborting", "exposure": 0.28, "old_ms": 310}
 
 
@@ -205,6 +253,9 @@
         assert pipeline.vote_answer(status, b"") == pipeline.not_counted(outcome)
     assert json.loads(pipeline.vote_body(i.Vote(1, 42, i.Verdict.ON))) == {
         "release": 42, "tranche": 1, "ruling": "on"}
-    for bad in (b"[]", b'{"type":"stage"}', b'{"type":"stage","object":{"release":NaN}}'):
+    for bad in (b"[]", b'{"type":"stage"}', b'{"type":"stage","object":{"release":NaN}}', b'{"typo":"stage"}',
+                *(json.dumps({"type": "stage", "object": {**STATE, **change}}).encode() for change in (
+                    {"release": "42"}, {"tranche": None}, {"exposure": True}, {"mode": "Gone"},
+                    {"old_ms": -1}))):
         with pytest.raises(ProtocolError):
             pipeline.change(bad)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -9,11 +9,12 @@
 from loftroute.decision import interface as i
 from loftroute.protocol import jobs
 from loftroute.protocol.catalog import Address, Listing
+from loftroute.relay.rests import Rests
 from loftroute.relay.units import Attempt, Units
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import Scheduler
 
-SECOND = 1_000_000_000
+MS, SECOND = 1_000_000, 1_000_000_000
 ANSWER = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n"
 
 
@@ -137,3 +138,23 @@
     for peer in bench.peers:
         peer.close()
     bench.until(lambda: len(bench.done) == 20 and not bench.units.open)
+
+
+def test_rests_after_which_connections_break_are_learnt_and_forgotten_again():
+    rests = Rests(Transport())
+    longest, now = rests.limit, 0
+    for n in range(400):  # one in twelve breaks whatever it did before; half of those that rested for long
+        rests.ended(None, n % 12 == 0, now)
+        rests.ended(20 * MS, n % 12 == 0, now)
+        rests.ended(300 * MS, n % 2 == 0, now)
+    assert 20 * MS < rests.limit <= 300 * MS
+    rests.ended(20 * MS, False, now + 11 * SECOND)
+    assert rests.limit == longest
+
+
+def test_where_connections_break_alike_after_any_rest_all_are_used():
+    rests = Rests(Transport())
+    for n in range(400):
+        for rest in (None, 5 * MS, 300 * MS, 2 * SECOND):
+            rests.ended(rest, n % 7 == 0, 0)
+    assert rests.limit == Transport().idle
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -231,3 +231,29 @@
                 seen += relay.answer(first, took=1300 * MS)
         seen += relay.wait(20 * MS)
     assert BACK in verdicts(seen)
+
+
+def test_one_request_that_fails_wherever_it_goes_blames_no_build():
+    relay = Relay()
+    relay.fleet(4, 6)
+    relay.news(cap=1.0)
+    relay.serve(80)
+    for _ in range(4):
+        ref, _ = relay.ask()
+        while any(key[0] == ref for key in relay.open):
+            relay.answer(ref, "Failed", took=MS)
+        assert BACK not in verdicts(relay.serve(60))
+
+
+def test_failures_that_come_to_all_alike_put_nobody_out_of_favour():
+    """Connections that break under every sixth attempt, at the earlier build's servers and the trial's."""
+    relay = Relay()
+    relay.fleet(10, 10)
+    relay.news(cap=1.0)
+    for n in range(1200):
+        ref, _ = relay.ask()
+        while any(key[0] == ref for key in relay.open):
+            relay.answer(ref, "ResetByPeer" if n % 6 == 0 and relay.sends[ref] == 1 else "Ok")
+        relay.wait(5 * MS)
+    kept = relay.instance
+    assert all(server.favour > 0.5 for server in kept.servers.values()) and kept.pace < 4
