--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -15,6 +15,8 @@
 from loftroute.protocol.catalog import Address
 from loftroute.protocol.jobs import Names
 
+OWN_DESCRIPTORS = 32  # the listener, the log, the control service's calls, what is being closed
+
 CONTROLS = {
     "first_voice": i.Control.ANY,
     "by_count": i.Control.SHARE,
@@ -360,16 +362,18 @@
 
 
 def _budget(limits: Section, ceilings: Section) -> Budget:
-    """Descriptors: some for the relay itself, three parts in ten for units, the rest for clients.
+    """Descriptors: some for the relay itself, nine in twenty of the others for units, the rest for clients.
+
+    Each request open holds one of both; besides, both sides keep connections that wait for nothing.
 
     Requests open at once: as many of the longest, with their answers, as half of the other memory holds.
     """
     told = limits.whole("sockets", 1024)
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    rest = (told if soft == resource.RLIM_INFINITY else min(told, soft)) - 40
+    rest = (told if soft == resource.RLIM_INFINITY else min(told, soft)) - OWN_DESCRIPTORS
     if rest < 20:
-        raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + 40}")
-    units = rest * 3 // 10
+        raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + OWN_DESCRIPTORS}")
+    units = rest * 9 // 20
     memory = max(limits.whole("memory_mb", 192) << 20, 0) - Transport().program
     most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)))
     return Budget(clients=rest - units, units=units, open=min(most, ceilings.whole("max_open", 0) or most))
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -18,11 +18,10 @@
 PREFIX = 64  # latest earlier-build outcomes that a stream starts behind
 SCAN_FROM, ALPHA = 8, 0.05  # values before a stream is scanned; chance of a false alarm it is set for
 LONGEST = 8192  # the longest window, so that a stream takes no more memory however long it lasts
-# What is scanned (all that is bad, errors, answers slower for their work than most of the prefix), with its
+# What is scanned (all bad, errors, resets, answers slower for their work than most of the prefix), with its
 # multiplier beside an earlier build that answers now and without one; the Note's 2^{3/2} was not made small.
-SCANS = {"bad": (2.0, 2.0), "errors": (1.22, 1.22), "slow": (2.4, inf)}
-SAMPLE, WAIT = 20, SECOND  # trial outcomes of a stage that speak for going on, or time after the bake
-RENEW_BEFORE = 0.3  # share of a vote's life that is left when it is renewed
+SCANS = {"bad": (2.0, 2.0), "errors": (1.22, 1.22), "resets": (1.22, 1.22), "slow": (2.4, inf)}
+SAMPLE, WAIT, RENEW_BEFORE = 20, SECOND, 0.3  # trial outcomes for going on, or time; share of a vote's life
 PEERLESS, PEERS, PEER_AGE = 8, 1024, 2 * SECOND  # earlier-build outcomes that tell its fault from the fleet's
 
 # Learnt pace (time for the work): steps, the zone's weight in answers, left each tick, out of favour beyond.
@@ -36,14 +35,13 @@
 COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
 CROWD, CROWD_LESSER, ANSWERS, MANY = 0.5, 0.3, 16, 500  # share of the time to the aim; answers a second
-FAULTY = 0.15  # smoothed failures of an earlier-build server that show machines failing by themselves
-EASY = 0.2  # share of the aim that may be spent waiting: beyond it slowness says nothing of a build
-MOST_TRIAL = 0.85  # of the traffic, so that the judge still sees the earlier build
+FAULTY, LOSSY, EVER = 0.15, 0.1, 1.5  # failures of a server, of all; slower than this is slower than ever
+EASY, MOST_TRIAL = 0.2, 0.85  # of the aim, waiting beyond which blames no build; of the traffic, on trial
 DONE_OVER, LINKED = 2 * SECOND, 10 * SECOND  # finished work is summed over; a connection stays open
 SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
 JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-HARD = (Outcome.ERROR, Outcome.RESET)  # tuples: members are compared by identity, not hashed
+HARD, RARE = (Outcome.ERROR, Outcome.RESET), {"errors": 1, "resets": 2}  # tuples: compared by identity
 BAD, REFUSED = (*HARD, Outcome.TIMEOUT), (*HARD, Outcome.FULL, Outcome.CONNECT_FAILED)
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
 
@@ -56,19 +54,20 @@
     """Algorithm 3 behind a prefix: prefix sums, doubling windows, a threshold that grows with log t."""
 
     def __init__(self, kind: str, kept: list[Seen]) -> None:
-        self.kind, (self.beside, self.alone), prefix = kind, SCANS[kind], kept[-PREFIX:]
+        self.kind, self.rare, prefix = kind, RARE.get(kind, 0), kept[-PREFIX:]
+        self.beside, self.alone = SCANS[kind]
         self.level = sorted(o[3] for o in prefix)[len(prefix) * 7 // 8] if prefix else inf
         self.sums = [0, *accumulate(map(self.read, prefix))]  # the latest
         self.length, self.seen, self.alarm, self.half = len(prefix), 0, False, False
         self.last = next((n for n in range(len(prefix), 0, -1) if self.read(prefix[n - 1])), 0)  # latest 1
         self.bad: deque[tuple[int, int]] = deque(maxlen=LONGEST)  # place and server of each 1
-        self.rare, self.rate = kind == "errors", (sum(map(self.read, kept)) + 0.5) / (len(kept) + 4)
+        self.rate = (sum(map(self.read, kept)) + 0.5) / (len(kept) + 4)
         # The least sub-Gaussian sigma for 0/1 values of the prefix's mean p, smoothed (Kearns and Saul).
         p = min((self.sums[-1] + 1.0) / (len(prefix) + 4.0), 0.45)
         self.sigma = 1.0 if self.rare else sqrt((1 - 2 * p) / (2 * log((1 - p) / p)))
 
-    def read(self, outcome: Seen) -> int:
-        return int(outcome[3] > self.level) if self.kind == "slow" else outcome[1 + (self.kind == "errors")]
+    def read(self, o: Seen) -> int:
+        return int(o[3] > self.level if self.kind == "slow" else o[2] == self.rare if self.rare else o[1])
 
     def add(self, value: int, server: int, beside: bool, look: Callable) -> None:
         """Scan a trial server's outcome; `look` tells how many must fail and the earlier build's values."""
@@ -273,7 +272,8 @@
         self.wait = (self.stay if rate else max(self.stay, self.age)) - self.calm
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
-        return self.wait > limit and out * self.cfg.instances > len(self.alive) and (
+        lossy = self.noise > LOSSY and self.clean < EVER * self.tempo  # what is lost waits for nothing
+        return self.wait > limit and not lossy and out * self.cfg.instances > len(self.alive) and (
             self.now - self.born > 2 * SECOND)
 
     def _heaped(self) -> bool:
@@ -282,13 +282,13 @@
     def _favour(self) -> None:
         """Servers far slower than the swift quarter are drawn seldom. Few answers are read with those of the
         zone, and old ones count less and less, so that what is mended is tried again."""
-        for zone in self.zones.values():
-            zone.known *= FADE
+        for pace in (*self.zones.values(), *(s.pace for s in self.ready)):
+            pace.known *= FADE
         for server in self.ready:
-            server.pace.known *= FADE
             server.expect = server.pace.guess(self.zones[server.entry.zone].guess(self.pace, 1.0), ZONE_TRUST)
         swift = sorted(s.expect for s in self.ready) or [self.pace]
         self.pace += 0.1 * (swift[len(swift) // 4] - self.pace)
+        self.tempo += 0.02 * (self.clean - self.tempo)
         for server in self.ready:
             server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 4
 
@@ -427,7 +427,7 @@
             server.pace.learn(FAILED * self.clean, FAIL_STEP)
         if outcome is Outcome.OK and request:
             self.usual[request.cls] += 0.02 * (took - self.usual[request.cls])
-            self.clean += 0.01 * (min(ratio, SLOW * self.clean) - self.clean)
+            self.clean += 0.02 * (min(ratio, SLOW * self.clean) - self.clean)
         if outcome in (Outcome.OK, *BAD):
             server.fail_rate += 0.1 * ((outcome in BAD) - server.fail_rate)
             self.noise += 0.01 * ((outcome in BAD) - self.noise)
@@ -436,7 +436,7 @@
             if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent:
                 server.doubts += not server.ejected_until
             else:
-                self._judge(attempt, int(outcome in BAD or late), int(hard), ratio)
+                self._judge(attempt, int(outcome in BAD or late), hard and HARD.index(outcome) + 1, ratio)
 
     def _silence(self) -> None:
         """Sets aside a server that answers nothing while attempts are out: silent, stopped or cut off."""
@@ -470,7 +470,7 @@
                     [scan.read(o) for o in earlier if o[0] > since and not long])
         for scan in self.scans:
             # Being cold or crowded explains no error; slowness is held against peers in the same crowd.
-            if scan.kind == "errors" or (attempt.warm and (calm or scan.kind == "slow")):
+            if scan.rare or (attempt.warm and (calm or scan.kind == "slow")):
                 scan.add(scan.read(seen), attempt.entry.server, beside, look)
             if scan.alarm and not self.alarm:
                 self.alarm = True
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -16,7 +16,7 @@
     ServerState,
 )
 
-Seen = tuple[int, int, int, float]  # an outcome: when, 1 = bad, 1 = error, time taken for its work
+Seen = tuple[int, int, int, float]  # when, 1 = bad, 1 = error or 2 = reset, time taken for its work
 
 
 class WindowSum:
@@ -150,6 +150,7 @@
     watch_tries: int = 0
     pace: float = 1.0
     noise: float = 0.0  # share of all attempts that fail
+    tempo: float = 1.0  # the same over a long time
     clean: float = 1.0  # time taken for the work by the answers alone
     zones: defaultdict[int, Pace] = field(default_factory=lambda: defaultdict(Pace))
     wait: float = 0.0
--- a/loftroute/relay/rests.py
+++ b/loftroute/relay/rests.py
@@ -25,7 +25,7 @@
     def ended(self, rest: int | None, broke: bool, now: int) -> None:
         """An attempt has ended on a connection that had rested so long, or was new."""
         if self.limit < self._transport.idle and now >= self._until:
-            self._forget()
+            self._relax(now)
         place = self._place(rest)
         self._used[place] += 1
         self._broke[place] += broke
@@ -44,8 +44,9 @@
             self.limit = min(self.limit, MS << place - 2)
             self._until = now + self._transport.rests_kept
 
-    def _forget(self) -> None:
-        """Things may have changed: longer rests are tried again."""
-        self.limit = self._transport.idle
-        for place in range(1, len(self._used)):
-            self._used[place] = self._broke[place] = 0
+    def _relax(self, now: int) -> None:
+        """Things may have changed: rests up to twice as long are tried again, not all at once."""
+        self.limit = min(2 * self.limit, self._transport.idle)
+        self._until = now + self._transport.rests_kept
+        place = self._place(self.limit - 1)
+        self._used[place] = self._broke[place] = 0
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -348,10 +348,10 @@
         """Whether one more connection may be opened; an idle one elsewhere makes place for it."""
         if self.open < self._bound:
             return True
-        for unit in self.units.values():
-            if unit.idle:
-                unit.idle.popleft().abort()
-                return True
+        most = max(self.units.values(), key=lambda unit: len(unit.idle), default=None)
+        if most and most.idle:
+            most.idle.popleft().abort()
+            return True
         self.crowded += 1
         return False
 
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -151,6 +151,17 @@
     assert all(alarms(0.25, seed)[0] for seed in range(40))
 
 
+def test_a_build_that_answers_with_errors_is_seen_at_once_among_answers_that_are_spoilt():
+    drawn = Random(1)
+    kept = [(0, bad, 2 * bad, 0.0) for bad in (int(drawn.random() < 0.05) for _ in range(1024))]
+    errors, resets = Scan("errors", kept), Scan("resets", kept)
+    for n in range(60):  # one in twenty reset as ever, one in eight an error
+        seen = (0, 1, 1, 0.0) if n % 8 == 7 else (0, 1, 2, 0.0) if n % 20 == 9 else (0, 0, 0, 0.0)
+        for scan in (errors, resets):
+            scan.add(scan.read(seen), n % 5, False, lambda _: (2, []))
+    assert errors.alarm and errors.seen == 60 and not resets.alarm
+
+
 def test_what_a_withdrawn_build_did_is_no_measure_for_the_next():
     relay = Relay(setup(), seed=4)
     relay.fleet(6, 2)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -140,7 +140,7 @@
     bench.until(lambda: len(bench.done) == 20 and not bench.units.open)
 
 
-def test_rests_after_which_connections_break_are_learnt_and_forgotten_again():
+def test_rests_after_which_connections_break_are_learnt_and_tried_again_in_time():
     rests = Rests(Transport())
     longest, now = rests.limit, 0
     for n in range(400):  # one in twelve breaks whatever it did before; half of those that rested for long
@@ -148,7 +148,11 @@
         rests.ended(20 * MS, n % 12 == 0, now)
         rests.ended(300 * MS, n % 2 == 0, now)
     assert 20 * MS < rests.limit <= 300 * MS
-    rests.ended(20 * MS, False, now + 11 * SECOND)
+    learnt = rests.limit
+    for later in range(11, 120, 11):  # longer rests are tried again little by little
+        rests.ended(20 * MS, False, now + later * SECOND)
+        assert learnt < rests.limit <= longest
+        learnt = min(rests.limit, longest - 1)
     assert rests.limit == longest
 
 
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -257,3 +257,18 @@
         relay.wait(5 * MS)
     kept = relay.instance
     assert all(server.favour > 0.5 for server in kept.servers.values()) and kept.pace < 4
+
+
+def test_lost_answers_are_no_crowd_while_the_others_come_as_swiftly_as_ever():
+    """Every fourth attempt is lost and times out: nothing is gained by refusing others."""
+    relay, refused = Relay(seed=3), 0
+    relay.fleet(10)
+    for n in range(1500):
+        ref, actions = relay.ask()
+        refused += bool(n > 500 and named(actions, "NOT_NOW"))
+        if any(key[0] == ref for key in relay.open) and (n < 300 or n % 4):
+            relay.answer(ref)
+        for late in [key[0] for key in relay.open if int(key[0], 16) < relay.count - 90]:
+            relay.answer(late, "TimedOut", took=450 * MS)
+        relay.wait(5 * MS)
+    assert refused < 20
