--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -204,6 +204,7 @@
     """How the limits told are shared out."""
 
     clients: int  # connections from clients
+    resting: int  # ... that asked once and wait for nothing
     units: int  # connections to units
     open: int  # requests open at once
 
@@ -230,7 +231,7 @@
     message: int = 1 << 18  # the longest command or answer
     document: int = 4 << 20  # the longest document of discovery or the platform
     patience: int = 2_200_000_000  # a client with no request open is closed after so long without a new one
-    trim_every: int = 200_000_000
+    trim_every: int = 100_000_000
     linger: int = 300_000_000  # what a client sends behind an error is read for so long, then it is cut off
     linger_bytes: int = 1 << 20  # ... or until it was so much
     bad_in_row: int = 8  # bad requests of one client after which it is read from more seldom
@@ -376,7 +377,8 @@
     units = rest * 9 // 20
     memory = max(limits.whole("memory_mb", 192) << 20, 0) - Transport().program
     most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)))
-    return Budget(clients=rest - units, units=units, open=min(most, ceilings.whole("max_open", 0) or most))
+    most = min(most, ceilings.whole("max_open", 0) or most)
+    return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most)
 
 
 def _transport(setup: Section) -> Transport:
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -52,7 +52,7 @@
         self._broken = False  # the framing is lost: nothing more is read
         self._bad = 0  # bad requests since the last good one
         self._rest_until: int | None = None  # not read from before then
-        self.useful = False  # a whole command has come
+        self.asked = 0  # whole commands that have come
         self.since = door.scheduler.looked  # the last command or answer, or the first byte of the next
         self.task: Task = door.scheduler.spawn("client", self._run)
         self.mailbox.owner = self.task
@@ -166,7 +166,7 @@
     def _read(self) -> None:
         if self._broken:
             return
-        if self.useful and not len(self._stream.buffer):
+        if self.asked and not len(self._stream.buffer):
             self.since = self._door.scheduler.looked
         try:
             self._commands()
@@ -184,13 +184,14 @@
             found = jobs.plain(buffer.data, buffer.start, buffer.end, names)
             if found:
                 buffer.taken(found[1])
-                self.useful = True
+                self.asked += 1
                 self._hand_on(self._append(), found[0])
                 continue
             command = buffer.parse(resp.command)
             if command is None:
                 return
-            self.useful, self.since = True, self._door.scheduler.looked
+            self.asked += 1
+            self.since = self._door.scheduler.looked
             self._command(command)
 
     def _append(self) -> Slot:
@@ -246,7 +247,7 @@
         self.connections: set[Connection] = set()
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._search_at = self._shut_since = 0
-        self.malformed = self.crowded = self.halves = self.turned = 0
+        self.malformed = self.crowded = self.halves = self.turned = self.thinned = 0
         self.bad = 0
         self.closing = False
         self._task = scheduler.spawn("listener", self._run)
@@ -280,6 +281,17 @@
             self.connections.add(Connection(self, stream, waited))
         return False
 
+    def _thin_out(self) -> None:
+        """Clients that ask once and keep their connection would use up the places, here or on their own side:
+        of connections that served one command and rest only so many are kept, the latest."""
+        old = self.scheduler.looked - self.config.transport.quiet_after
+        resting = [c for c in self.connections if c.asked == 1 and c.since < old and c.between]
+        resting.sort(key=lambda c: c.since)
+        for connection in resting[:max(len(resting) - self.config.budget.resting, 0)]:
+            if connection.silent():
+                self.thinned += 1
+                connection.close()
+
     def _turn_away(self) -> None:
         """Nobody who is here can be closed, and who waits outside must not wait for ever."""
         transport = self.config.transport
@@ -304,7 +316,7 @@
         transport = self.config.transport
         self._search_at, old = now + transport.rest // 2, now - transport.quiet_after
         found = [c for c in self.connections if c.since < old and not c.owes]
-        found.sort(key=lambda c: (c.useful, c.since))  # those first that never asked anything
+        found.sort(key=lambda c: (c.asked, c.since))  # those first that never asked anything
         for connection in found[:max(8, self.config.budget.clients // 16)]:
             if not connection.between or connection.silent():
                 connection.close()
@@ -322,6 +334,7 @@
         for late in [c for c in self.connections if c.since < old and not c.owes]:
             if not late.between or late.silent():
                 late.overdue()
+        self._thin_out()
         self.scheduler.at(self.scheduler.clock.now() + self.config.transport.trim_every, self._trim)
 
     def close(self) -> None:
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -146,6 +146,7 @@
             "cpu s": round(used.ru_utime + used.ru_stime, 1), "task failures": scheduler.failures,
             "bad requests": self.clients.bad, "malformed": self.clients.malformed,
             "half commands": self.clients.halves, "closed unread": self.clients.turned,
+            "thinned out": self.clients.thinned,
             "spoilt answers": self.units.malformed, "unasked answers": self.units.unasked,
             "crowded": self.units.crowded + self.clients.crowded,
             "lists": self.discovery.answers, "old lists": self.discovery.old, "reloads": self.reloads,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -77,6 +77,16 @@
         sock.close()
 
 
+def test_clients_that_ask_once_and_stay_do_not_keep_their_places_for_seconds(relay):
+    it = relay({"u1": Unit()}, sockets=128)
+    begun, staying = time.monotonic(), [it.client() for _ in range(40)]
+    assert [it.read(client) for client in staying] == [b"value of k1"] * 40
+    usual = it.client()
+    assert [it.read(usual) for _ in range(3)] == [b"value of k1"] * 3
+    assert ended(staying[0]) == b"" and time.monotonic() - begun < 2
+    assert it.read(usual) == b"value of k1"
+
+
 def test_who_is_turned_away_for_want_of_room_is_told_when_to_come_back(relay):
     unit = Unit("wait")
     it = relay({"u1": unit}, sockets=64)
@@ -101,9 +111,9 @@
     it = relay({"u1": unit}, sockets=64)
     leaving, staying = it.client(), it.client()
     leaving.sock.sendall(b"".join(
-        command("Q.ASK", "gone", it.id(), "c=read,t=acme,d=2900") for _ in range(14)))
-    eventually(lambda: len(unit.seen) >= 7)
+        command("Q.ASK", "gone", it.id(), "c=read,t=acme,d=2900") for _ in range(18)))
+    eventually(lambda: len(unit.seen) >= 14)
     leaving.close()
     unit.go.set()
     assert it.read(staying) == b"value of k1"
-    assert sum(words[1] == b"gone" for words in unit.seen) < 14
+    assert sum(words[1] == b"gone" for words in unit.seen) < 18
