--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -74,7 +74,7 @@
         sums = self.sums
         sums.append(sums[-1] + value)
         if len(sums) > 4 * LONGEST:
-            del sums[:-2 * LONGEST]
+            del sums[:-2 * LONGEST - 1]
         self.seen, self.length, self.half, t = self.seen + 1, self.length + 1, False, self.length + 1
         if value:
             self.last = t
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -3,6 +3,7 @@
 from math import log, sqrt
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -114,8 +115,9 @@
     assert scanned([0] * 64, [int(n % 3 == 0) for n in range(160)], [], servers=16, kind="errors").alarm
 
 
-def test_a_stream_that_never_ends_takes_no_more_memory_and_still_sees_a_change():
-    scan = scanned([0, 1] * 32, [], [])
+@pytest.mark.parametrize(("kind", "prefix"), [("bad", [0, 1] * 32), ("errors", [0] * 60 + [1] * 4)])
+def test_a_stream_that_never_ends_takes_no_more_memory_and_still_sees_a_change(kind, prefix):
+    scan = scanned(prefix, [], [], kind=kind)
     for n in range(6 * policy.LONGEST):
         scan.add(int(n % 40 == 0), n % 4, False, lambda _: (2, []))
     assert len(scan.sums) <= 4 * policy.LONGEST + 1 and len(scan.bad) <= policy.LONGEST and not scan.alarm
