--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -239,6 +239,7 @@
     pipelined: int = 64  # commands of one client connection that wait for answers
     unsent: int = 1 << 18  # bytes that wait for a client before nothing more is read from it
     backlog: int = 1024
+    open_per_core: int = 128  # requests open at once: more only wait, and cost the core they wait for
     program: int = 24 << 20  # memory that the program itself takes; the rest bounds the requests open
     pauses: int = 4  # failures in a row after which that pause is whole; after the first there is none
     rest: int = 20_000_000  # a full door is looked at again after so long
@@ -367,7 +368,8 @@
 
     Each request open holds one of both; besides, both sides keep connections that wait for nothing.
 
-    Requests open at once: as many of the longest, with their answers, as half of the other memory holds.
+    Requests open at once: as many of the longest, with their answers, as half of the other memory holds, and
+    as the core bears.
     """
     told = limits.whole("sockets", 1024)
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -376,7 +378,8 @@
         raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + OWN_DESCRIPTORS}")
     units = rest * 9 // 20
     memory = max(limits.whole("memory_mb", 192) << 20, 0) - Transport().program
-    most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)))
+    most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)),
+               int(Transport().open_per_core * limits.number("cores", 1.0)))
     most = min(most, ceilings.whole("max_open", 0) or most)
     return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most)
 
