--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -376,10 +376,10 @@
     rest = (told if soft == resource.RLIM_INFINITY else min(told, soft)) - OWN_DESCRIPTORS
     if rest < 20:
         raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + OWN_DESCRIPTORS}")
-    units = rest * 9 // 20
-    memory = max(limits.whole("memory_mb", 192) << 20, 0) - Transport().program
+    units, base = rest * 9 // 20, Transport()
+    memory = max(limits.whole("memory_mb", 192) << 20, 0) - base.program
     most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)),
-               int(Transport().open_per_core * limits.number("cores", 1.0)))
+               int(base.open_per_core * limits.number("cores", 1.0)))
     most = min(most, ceilings.whole("max_open", 0) or most)
     return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most)
 
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -150,8 +150,8 @@
     watch_tries: int = 0
     pace: float = 1.0
     noise: float = 0.0  # share of all attempts that fail
-    tempo: float = 1.0  # the same over a long time
     clean: float = 1.0  # time taken for the work by the answers alone
+    tempo: float = 1.0  # the same over a long time
     zones: defaultdict[int, Pace] = field(default_factory=lambda: defaultdict(Pace))
     wait: float = 0.0
     seen: int = 0
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -126,8 +126,11 @@
         self._stream.events |= READ
         self._door.scheduler.wake(self.task)
 
-    def silent(self) -> bool:
-        """Whether nothing lies unread: to close a connection on a request would lose it."""
+    def endable(self) -> bool:
+        """Whether it may be ended now. Between requests nothing may lie unread: to close a connection on a
+        request would lose it."""
+        if not self.between:
+            return True
         self._stream.events |= READ
         if not self._stream.read():
             return True
@@ -288,7 +291,7 @@
         resting = [c for c in self.connections if c.asked == 1 and c.since < old and c.between]
         resting.sort(key=lambda c: c.since)
         for connection in resting[:max(len(resting) - self.config.budget.resting, 0)]:
-            if connection.silent():
+            if connection.endable():
                 self.thinned += 1
                 connection.close()
 
@@ -318,7 +321,7 @@
         found = [c for c in self.connections if c.since < old and not c.owes]
         found.sort(key=lambda c: (c.asked, c.since))  # those first that never asked anything
         for connection in found[:max(8, self.config.budget.clients // 16)]:
-            if not connection.between or connection.silent():
+            if connection.endable():
                 connection.close()
         if len(self.connections) < self.config.budget.clients:
             return True
@@ -332,7 +335,7 @@
         """End connections that have no request open and brought no whole one for long."""
         old = self.scheduler.clock.now() - self.config.transport.patience
         for late in [c for c in self.connections if c.since < old and not c.owes]:
-            if not late.between or late.silent():
+            if late.endable():
                 late.overdue()
         self._thin_out()
         self.scheduler.at(self.scheduler.clock.now() + self.config.transport.trim_every, self._trim)
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -54,7 +54,9 @@
         self.requests = self.served = 0
         self._most, self._lone = config.budget.open, not config.settings.second_copies
         self._longest = [c.deadline for c in config.settings.classes]
-        self._come_again = min(config.transport.come_again, config.settings.max_retry_after) // MS
+        self._come_again = 0  # milliseconds
+        if config.settings.retry_after:
+            self._come_again = min(config.transport.come_again, config.settings.max_retry_after) // MS
         self._attempts = config.settings.max_attempts
         self._news: i.ReleaseNews | None = None
         self._lacks: set[type] = {i.Started, i.ServerList}
@@ -104,7 +106,7 @@
         """Take a request; it may have lain unread for as long as `waited`."""
         if len(self.open) >= self._most:
             self.count["turned away"] += 1
-            return ticket.refused(self._come_again if self._config.settings.retry_after else 0)
+            return ticket.refused(self._come_again)
         if job.id in self.open:
             self.count["id in use"] += 1
             return ticket.failed()
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -57,7 +57,7 @@
         if attempt:
             attempt.connection = self
         unit.connections.add(self)
-        self.dialling, self._begun, self._rested = True, False, 0
+        self.dialling, self._begun = True, False
         self._rests_since = self._scheduler.looked
         self._rest: int | None = None  # how long it had rested before its attempt; None where it is new
         unit.pool.open += 1
@@ -115,7 +115,7 @@
         return attempt.job.attempt(attempt.until - attempt.written)
 
     def _answer(self, stream: Stream, attempt: Attempt) -> bool:
-        broke = False
+        broke = clean = False
         try:
             result = answer(stream.receive(resp.reply, attempt.until), self._pool.report)
         except Expired:
@@ -127,26 +127,21 @@
             self._pool.malformed += 1
             result = Answer(i.Outcome.RESET)
         else:
-            if result.outcome is i.Outcome.FULL and len(stream.buffer):  # was it a refusal at all?
+            clean = not len(stream.buffer)  # with more than belongs to it, it is of no further use
+            if result.outcome is i.Outcome.FULL and not clean:  # was it a refusal at all?
                 self._pool.malformed += 1
                 result = Answer(i.Outcome.RESET)
-            self._pool.rests.ended(self._rest, False, self._scheduler.looked)
-            clean = not len(stream.buffer)
-            if not clean:
-                self._drop()  # more than belongs to it: of no further use
-            self._finish(result)
-            return clean
         self._pool.rests.ended(self._rest, broke, self._scheduler.looked)
-        self._drop()  # before another attempt can be sent: else that is a second copy
+        if not clean:
+            self._drop()  # before another attempt can be sent: else that is a second copy
         if result.outcome is i.Outcome.TIMEOUT:
             self._scheduler.sleep(self._pool.transport.close_grace)
         self._finish(result)
-        return False
+        return clean
 
     def _wait_idle(self) -> bool:
         """Wait idle for the next attempt; False once the connection has ended or was idle for long."""
-        self._begun, self._rested = False, self._scheduler.turns
-        self._rests_since = self._scheduler.looked
+        self._begun, self._rests_since = False, self._scheduler.looked
         until = self._rests_since + self._pool.rests.limit
         self._unit.rests(self)
         while self.attempt is None:
@@ -182,7 +177,7 @@
     def settled(self) -> bool:
         """Whether the sockets were looked at since its last answer: a second copy of that, or noise behind
         it, would else be read as the answer to the next request."""
-        return self._rested < self._scheduler.turns
+        return self.rest > 0
 
     @property
     def rest(self) -> int:
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -13,7 +13,7 @@
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.scheduler import BROKEN, READ, WRITE, Scheduler, Task
 
-WASTE = bytearray(1 << 16)  # what is read into it is of no use to anybody
+WASTE = memoryview(bytearray(1 << 16))  # what is read into it is of no use to anybody
 
 Message = TypeVar("Message")
 Parser = Callable[[bytearray, int, int], tuple[Message, int]]
@@ -127,20 +127,25 @@
         if not self.events or self.closed or self.ended:
             return False
         space = self.buffer.space()
+        count = self._receive(space)
+        if not count:
+            return False
+        if count < len(space) and not self.events & BROKEN:
+            self.events = 0  # all is read that was there; poll tells of more
+        self.buffer.end += count
+        return True
+
+    def _receive(self, space: memoryview) -> int:
+        """How many bytes were read; none where nothing is there yet or the peer has ended."""
         try:
             count = self._sock.recv_into(space)
         except (BlockingIOError, InterruptedError):
             self.events = 0
-            return False
+            return 0
         except OSError:
             count = 0
-        if count == 0:
-            self.ended = True
-            return False
-        if count < len(space) and not self.events & BROKEN:
-            self.events = 0  # all is read that was there; poll tells of more
-        self.buffer.end += count
-        return True
+        self.ended = self.ended or not count
+        return count
 
     def stale(self) -> bool:
         """Whether an idle connection has ended, or its peer has said what nobody asked."""
@@ -161,14 +166,7 @@
     def drop(self) -> int:
         """Read once and forget it; how many bytes that were."""
         self.events = 0
-        try:
-            count = self._sock.recv_into(WASTE)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError:
-            count = 0
-        self.ended = self.ended or not count
-        return count
+        return self._receive(WASTE)
 
     def write(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Send now what can be, keep the rest: slices stay valid, so that nothing is copied."""
