A client's unread request is read before its connection is ended, told of by poll or not

Seen when the change was read once more: Connection.between is false while poll's news waits for the client's task, and _trim and _room took that for a half command that may be cut off. Not a tidying: this changes what is closed. Now unread bytes are always read first; who broke the framing or does not read its answers is still ended at once.

--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -127,9 +127,9 @@
         self._door.scheduler.wake(self.task)
 
     def endable(self) -> bool:
-        """Whether it may be ended now. Between requests nothing may lie unread: to close a connection on a
-        request would lose it."""
-        if not self.between:
+        """Whether it may be ended now. Nothing may lie unread, whether poll has told of it or not: to close a
+        connection on a request would lose it. Who broke the framing or does not read is not waited for."""
+        if self._broken or self._stream.unsent:
             return True
         self._stream.events |= READ
         if not self._stream.read():
