Durable store: log, index, compaction, recovery; settings, command line, recall beside it

Need: a relay that restarts must not forget which requests it sent.

The platform's relay imports none of it (tests/test_runtime.py).

--- a/loftroute/__main__.py
+++ b/loftroute/__main__.py
@@ -1,4 +1,4 @@
-"""Starts the relay."""
+"""Starts the platform's relay, or runs a command where one is given."""
 
 import sys
 
@@ -7,6 +7,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:  # the product's command line; the platform's relay imports nothing of it
+        from loftroute.cli.main import main as command
+
+        return command()
     try:
         settings = config.load()
         lifecycle.log_to_stderr()
--- /dev/null
+++ b/loftroute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: `python -m loftroute COMMAND`."""
--- /dev/null
+++ b/loftroute/recall/keeper.py
@@ -0,0 +1,297 @@
+"""Recall on the relay: intents before attempts, outcomes after them, and one answer for all calls of an id.
+
+Stands between the fronts and `Module.admit` for requests that must not run twice. What to do is decided in
+`recall/decisions.py`; the records lie in the store's space `recall`.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from loguru import logger
+
+from loftroute import invariants
+from loftroute.config import Config
+from loftroute.decision import interface as i
+from loftroute.protocol.jobs import Answer, Job
+from loftroute.recall import decisions
+from loftroute.recall.decisions import Decision, Do, Fate, Memory, Place, Room, Rules
+from loftroute.relay.module import Module, Ticket
+from loftroute.relay.units import Attempt
+from loftroute.runtime.clock import stamp
+from loftroute.runtime.scheduler import MS, Scheduler, Timer
+from loftroute.store.actor import Store
+from loftroute.store.plan import Refused
+from loftroute.store.records import PUT, Op, StoreError
+
+SPACE = "recall"
+
+
+class Listed(Protocol):
+    """Where a unit stands, as the list has it."""
+
+    def place(self, server: int) -> Place: ...
+
+
+@dataclass(slots=True, eq=False)
+class Joined:
+    """A further call with the id of a request that is still open; it ends at its own deadline."""
+
+    job: Job
+    ticket: Ticket
+    deadline: int
+    timer: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """A request that this process has taken and not yet done with."""
+
+    job: Job
+    known: Memory | None  # the newest record, safe or not
+    told: bool = False  # the final answer was given, or nobody waits for one
+    out: int = 0  # attempts whose end has not come
+    before: dict[int, Memory | None] = field(
+        default_factory=dict
+    )  # what was known before an attempt's intent
+    joined: list[Joined] = field(default_factory=list)
+
+
+class Answering:
+    """The ticket of a request: the first call's, and that of all that joined it."""
+
+    __slots__ = ("_keeper", "_live", "_ticket")
+
+    def __init__(self, keeper: "Keeper", live: Live, ticket: Ticket) -> None:
+        self._keeper, self._live, self._ticket = keeper, live, ticket
+
+    def served(self, answer: Answer) -> None:
+        self._keeper.final(self._live)
+        self._ticket.served(answer)
+        self._keeper.tell(self._live, lambda ticket: ticket.served(answer))
+
+    def refused(self, retry_after_ms: int) -> None:
+        self._keeper.final(self._live)
+        self._ticket.refused(retry_after_ms)
+        self._keeper.tell(self._live, lambda ticket: ticket.refused(retry_after_ms))
+
+    def failed(self) -> None:
+        self._keeper.final(self._live)
+        self._ticket.failed()
+        self._keeper.tell(self._live, lambda ticket: ticket.failed())
+
+
+class Keeper:
+    """The recall of one relay."""
+
+    def __init__(
+        self,
+        config: Config,
+        scheduler: Scheduler,
+        module: Module,
+        store: Store,
+        rules: Rules,
+        keep: int,
+        joined: int,
+        come_again: int,
+        listed: Listed,
+    ) -> None:
+        """`keep` and `come_again` in nanoseconds; `joined` bounds the calls that wait for one request."""
+        self._config, self._scheduler, self._module, self._store = config, scheduler, module, store
+        self._rules, self._keep, self._joined, self._listed = rules, keep, joined, listed
+        self._come_again = come_again // MS
+        self._space = store.space(SPACE)
+        self._live: dict[str, Live] = {}
+        self._unsafe: dict[str, tuple[Memory, int]] = {}  # written, not yet safe: the newest, and how many
+        self.count: Counter[str] = Counter()
+
+    def figures(self) -> Mapping[str, object]:
+        requests, size = self._store.usage(self._space)
+        return {
+            "recalled": requests,
+            "recall bytes": size,
+            "recall live": len(self._live),
+            **{f"recall {name}": number for name, number in self.count.items()},
+        }
+
+    def close(self) -> None: ...
+
+    # ---- calls
+
+    def asked(self, job: Job, ticket: Ticket, waited: int) -> None:
+        """A call with an effect: what it does depends on what became of its id."""
+        live = self._live.get(job.id)
+        if live is not None:
+            return self._join(live, job, ticket, waited)
+        try:
+            known = self._known(job.id)
+        except (StoreError, ValueError) as problem:  # it can't be told what became of it
+            logger.error("recall: {}", problem)
+            self.count["unreadable"] += 1
+            return ticket.failed()
+        call = self._config.settings.classes[job.cls]
+        decision = decisions.decide(call, job.key, known, stamp(self._store.boot), self._rules, self._room())
+        self._do(decision, job, ticket, waited)
+
+    def _do(self, decision: Decision, job: Job, ticket: Ticket, waited: int) -> None:
+        self.count[decision.do.value] += 1
+        if decision.do is Do.ANSWER and decision.memory:
+            return ticket.served(Answer(i.Outcome.OK, memoryview(decision.memory.value)))
+        if decision.do is Do.FAIL:
+            return ticket.failed()
+        if decision.do is Do.REFUSE:
+            return ticket.refused(self._come_again)
+        if decision.left is not None:
+            job.left = min(job.left, decision.left)
+        live = self._live[job.id] = Live(job, decision.memory)
+        self._module.admit(job, Answering(self, live, ticket), waited)
+
+    def _known(self, name: str) -> Memory | None:
+        if name in self._unsafe:
+            return self._unsafe[name][0]
+        raw = self._store.get(self._space, name.encode())
+        return decisions.unpack(raw) if raw is not None else None
+
+    def _room(self) -> Room:
+        requests, size = self._store.usage(self._space)
+        return Room(requests + len(self._live), size, not self._store.stopped)
+
+    def _join(self, live: Live, job: Job, ticket: Ticket, waited: int) -> None:
+        """It waits for the one answer, or fails at its own deadline."""
+        if len(live.joined) >= self._joined or job.cls != live.job.cls or job.key != live.job.key:
+            self.count["not joined"] += 1
+            return ticket.failed()
+        self.count["joined"] += 1
+        left = max(
+            min(job.left, self._config.settings.classes[job.cls].deadline)
+            - waited
+            - self._config.transport.spare,
+            MS,
+        )
+        waiting = Joined(job, ticket, self._scheduler.clock.now() + left)
+        waiting.timer = self._scheduler.at(waiting.deadline, lambda: self._give_up(live, waiting))
+        live.joined.append(waiting)
+
+    def _give_up(self, live: Live, waiting: Joined) -> None:
+        if waiting in live.joined:
+            live.joined.remove(waiting)
+            waiting.ticket.failed()
+
+    # ---- answers
+
+    def final(self, live: Live) -> None:
+        live.told = True
+        self._done(live)
+
+    def tell(self, live: Live, how: "Telling") -> None:
+        """Give the answer to all that joined."""
+        joined, live.joined = live.joined, []
+        for waiting in joined:
+            if waiting.timer:
+                waiting.timer.cancel()
+            how(waiting.ticket)
+
+    def gone(self, job: Job) -> None:
+        """The client has left, or one that joined. What was sent goes on, and its outcome is kept."""
+        live = self._live.get(job.id)
+        if live is None:
+            return
+        if live.job is job:
+            live.told = True
+            return self._done(live)
+        for waiting in [one for one in live.joined if one.job is job]:
+            live.joined.remove(waiting)
+            if waiting.timer:
+                waiting.timer.cancel()
+
+    def _done(self, live: Live) -> None:
+        """Nothing of it is open here any more; the record says the rest."""
+        if not live.told or live.out or self._live.get(live.job.id) is not live:
+            return
+        del self._live[live.job.id]
+        if live.joined:  # the first client left, and its attempt has ended
+            self._scheduler.at(0, lambda: self._again(live))
+
+    def _again(self, live: Live) -> None:
+        """Those that joined a request whose client left call anew: the record has the answer."""
+        joined, live.joined = live.joined, []
+        for waiting in joined:
+            if waiting.timer:
+                waiting.timer.cancel()
+            waiting.job.left = max(waiting.deadline - self._scheduler.clock.now(), MS)
+            self.asked(waiting.job, waiting.ticket, 0)
+
+    # ---- attempts
+
+    def intend(self, attempt: Attempt) -> None:
+        """Its intent must be safe before its first byte goes to a unit."""
+        live, job = self._live.get(attempt.job.id), attempt.job
+        if not invariants.holds(live is not None and live.job is job, "an attempt belongs to a live request"):
+            return attempt.finish(Answer(i.Outcome.MOOT))
+        assert live is not None
+        call, now = self._config.settings.classes[job.cls], stamp(self._store.boot)
+        target, known = self._listed.place(attempt.server), live.known
+        if known and known.fate is Fate.MAY and not decisions.allowed(call, known, target, now, self._rules):
+            self.count["kept from other groups"] += 1
+            live.out += 1
+            live.before[attempt.number] = known
+            return attempt.finish(Answer(i.Outcome.MOOT))
+        live.out += 1
+        live.before[attempt.number] = known
+        live.known = decisions.intent(known, call.name, job.key, target, now)
+        self._write(job.id, live.known, lambda problem: self._safe(live, attempt, problem))
+
+    def _safe(self, live: Live, attempt: Attempt, problem: StoreError | None) -> None:
+        if problem is None:
+            return self._module.go(attempt)
+        self.count["intents not safe"] += 1
+        before = live.before.get(attempt.number)
+        self._module.withdraw(live.job, before is None or before.fate is not Fate.MAY)
+        if not attempt.ended:
+            attempt.finish(Answer(i.Outcome.MOOT))
+
+    def ended(self, attempt: Attempt, result: Answer) -> None:
+        """What came of an attempt. The client need not wait until this is safe: an intent without an outcome
+        is never sent again as if nothing had run."""
+        live = self._live.get(attempt.job.id)
+        if live is None or live.job is not attempt.job or attempt.number not in live.before:
+            return
+        before = live.before.pop(attempt.number)
+        live.out -= 1
+        if live.known is not None:
+            value = bytes(result.value) if result.value is not None else None
+            after = decisions.outcome(live.known, before, result.outcome, value)
+            if after is not live.known:
+                live.known = after
+                self._write(live.job.id, after, lambda _: None)
+        if live.told:
+            self._done(live)
+
+    def _write(self, name: str, memory: Memory, done: "Done") -> None:
+        """Write a record down; until it is safe, calls go by it all the same."""
+        waiting = self._unsafe.get(name, (memory, 0))[1]
+
+        def ended(problem: StoreError | None) -> None:
+            newest, left = self._unsafe[name]
+            if left > 1:
+                self._unsafe[name] = (newest, left - 1)
+            else:
+                del self._unsafe[name]
+            done(problem)
+
+        op = Op(PUT, self._space, name.encode(), memory.pack(), self._store.now + self._keep)
+        try:
+            self._store.submit([op], ended)
+        except Refused as problem:
+            self.count["writes refused"] += 1
+            return done(problem)
+        self._unsafe[name] = (memory, waiting + 1)
+
+
+class Telling(Protocol):
+    def __call__(self, ticket: Ticket) -> None: ...
+
+
+class Done(Protocol):
+    def __call__(self, problem: StoreError | None) -> None: ...
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -4,6 +4,8 @@
 import resource
 import signal
 import sys
+from collections.abc import Mapping
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -21,6 +23,13 @@
 from loftroute.runtime.scheduler import MS, Scheduler
 
 
+class Part(Protocol):
+    """A subsystem that lives as long as the relay."""
+
+    def figures(self) -> Mapping[str, object]: ...
+    def close(self) -> None: ...
+
+
 class Relay:
     """One relay, from its start to its end."""
 
@@ -37,6 +46,7 @@
         self.votes: Votes | None = None
         self.ending = self._reload_asked = False
         self.reloads = 0
+        self.parts: list[Part] = []  # of the product, beside the platform's relay
 
     def run(self) -> None:
         self._guard = self.scheduler.spawn("lifecycle", self._live)
@@ -131,13 +141,15 @@
         while self.clients.connections and clock.now() < last:
             self.scheduler.sleep(10 * MS)
         self.report()
+        for part in reversed(self.parts):
+            part.close()
         self.scheduler.stop()
 
     def report(self) -> None:
         """One line that tells how the relay is."""
         used = resource.getrusage(resource.RUSAGE_SELF)
         scheduler = self.scheduler
-        figures = {
+        figures: dict[str, Any] = {
             "open": len(self.module.open), "attempts out": self.units.out(), **self.balancer.beliefs(),
             "clients": len(self.clients.connections),
             "units": self.units.open, "dials": self.units.dials,
@@ -156,6 +168,8 @@
             "dropped messages": self.module.mailbox.dropped, "requests": self.module.requests,
             "served": self.module.served, **self.module.count, **invariants.broken,
         }
+        for part in self.parts:
+            figures.update(part.figures())
         scheduler.worst_lag = 0
         logger.info("state: {}", ", ".join(f"{name} {value}" for name, value in figures.items()))
 
@@ -169,7 +183,12 @@
         return 0
 
 
-def log_to_stderr() -> None:
+def log_to_stderr(level: str = "INFO", json: bool = False) -> None:
+    """One record a line on standard error, as JSON where asked."""
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
+    if json:
+        logger.add(sys.stderr, format="{message}", level=level, serialize=True, backtrace=False,
+                   diagnose=False)
+        return
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False,
                diagnose=False)
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -22,6 +22,15 @@
     def handle(self, now: int, event: i.Event) -> list[i.Action]: ...
 
 
+class Recall(Protocol):
+    """Remembers requests that must not run twice (`loftroute/recall/`); only where the product has it on."""
+
+    def asked(self, job: Job, ticket: "Ticket", waited: int) -> None: ...
+    def intend(self, attempt: Attempt) -> None: ...
+    def ended(self, attempt: Attempt, result: Answer) -> None: ...
+    def gone(self, job: Job) -> None: ...
+
+
 class Ticket(Protocol):
     """Where the one final answer goes; a front door makes one for each request that it takes."""
 
@@ -49,6 +58,7 @@
         self.mailbox: Mailbox[i.Event] = Mailbox(scheduler, config.transport.mailbox)
         self.vote: Callable[[i.Vote], Any] = lambda _: None
         self.watch: Callable[[i.Watch | i.Fetch], Any] = lambda _: None
+        self.recall: Recall | None = None
         self.open: dict[str, Open] = {}
         self.count: Counter[str] = Counter()
         self.requests = self.served = 0
@@ -104,6 +114,17 @@
 
     def request(self, job: Job, ticket: Ticket, waited: int) -> None:
         """Take a request; it may have lain unread for as long as `waited`."""
+        if self.recall is not None and self.lasting(job):
+            self.recall.asked(job, ticket, waited)
+        else:
+            self.admit(job, ticket, waited)
+
+    def lasting(self, job: Job) -> bool:
+        """Whether it must not run twice."""
+        return self._config.names.effects[job.cls] is not i.Effect.SAFE
+
+    def admit(self, job: Job, ticket: Ticket, waited: int) -> None:
+        """Take a request on, whatever is known of its id."""
         if len(self.open) >= self._most:
             self.count["turned away"] += 1
             return ticket.refused(self._come_again)
@@ -118,6 +139,8 @@
     def gone(self, job: Job) -> None:
         """The client has left. What was sent goes on until it ends by itself, so that its connection can be
         used again; what was not sent ends now."""
+        if self.recall is not None and self.lasting(job):
+            self.recall.gone(job)
         held = self.open.get(job.id)
         if held and held.job is job:
             self._close(job.id)
@@ -152,6 +175,8 @@
         job, outcome = attempt.job, result.outcome
         held = self.open.get(job.id)
         mine = held is not None and held.job is job
+        if self.recall is not None and self.lasting(job):
+            self.recall.ended(attempt, result)
         if outcome is not i.Outcome.OK:
             self.count[outcome.name] += 1
         elif mine:
@@ -184,8 +209,34 @@
         if not (invariants.holds(alone, "one attempt of a request at a time") and left > 0
                 and attempt.number < self._attempts):
             return attempt.finish(Answer(i.Outcome.MOOT))
+        if self.recall is not None and self.lasting(held.job):
+            self.recall.intend(attempt)
+        else:
+            self._units.send(attempt)
+
+    def go(self, attempt: Attempt) -> None:
+        """Its intent is safe: it may be sent, if it is still wanted and in time."""
+        if attempt.ended:
+            return
+        held = self.open.get(attempt.job.id)
+        if attempt.cancelled or held is None or held.job is not attempt.job or (
+                self._scheduler.clock.now() >= attempt.until):
+            return attempt.finish(Answer(i.Outcome.MOOT))
         self._units.send(attempt)
 
+    def withdraw(self, job: Job, harmless: bool) -> None:
+        """Give a request up: refused where no attempt of it can have run, else failed."""
+        held = self.open.get(job.id)
+        if held is None or held.job is not job:
+            return
+        self._close(job.id)
+        self.count["withdrawn"] += 1
+        if harmless:
+            held.ticket.refused(self._come_again)
+        else:
+            held.ticket.failed()
+        self.mailbox.put(i.ClientGone(job.id))
+
     def _refuse(self, action: i.Refuse) -> None:
         held = self._close(action.request)
         if held:
--- a/loftroute/runtime/clock.py
+++ b/loftroute/runtime/clock.py
@@ -2,6 +2,8 @@
 
 import time
 
+from loftroute.moments import Stamp
+
 
 class Clock:
     """Never goes back, and compares with the times that other machines tell."""
@@ -11,3 +13,16 @@
 
     def now(self) -> int:
         return self._offset + time.monotonic_ns()
+
+
+def boot_name() -> str:
+    """Names this start of the machine; empty where it does not tell."""
+    try:
+        with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
+            return file.read().strip()
+    except OSError:
+        return ""
+
+
+def stamp(boot: str) -> Stamp:
+    return Stamp(time.time_ns(), time.clock_gettime_ns(time.CLOCK_BOOTTIME), boot)
--- /dev/null
+++ b/loftroute/store/inspect.py
@@ -0,0 +1,163 @@
+"""Looks into a store's folder without changing it: verify, dump, figures, copies. For the command line and
+tests."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from loftroute.runtime.files import Directory, RealDirectory
+from loftroute.store.engine import META, Engine, drive
+from loftroute.store.plan import Limits, OnDamage, Run
+from loftroute.store.records import STORE_FILE, Damaged, StoreError, pack_store, records
+
+TRIES = 5  # to meet the folder between two of a running relay's compactions
+
+
+@dataclass
+class Findings:
+    """What `verify` saw."""
+
+    segments: int = 0
+    records: int = 0
+    keys: int = 0
+    next_seq: int = 0
+    torn_bytes: int = 0
+    checkpoint: str = ""
+    problems: list[str] = field(default_factory=list)
+
+
+def read(path: str | Path, limits: Limits, checkpoints: bool = True) -> Engine:
+    """A store as it is now, for reading; a running relay may go on with it."""
+    for left in reversed(range(TRIES)):
+        try:
+            return Engine(
+                RealDirectory(path, read_only=True), limits, read_only=True, checkpoints=checkpoints
+            )
+        except (FileNotFoundError, Damaged):
+            if not left:
+                raise
+            time.sleep(0.05)
+    raise AssertionError
+
+
+def check(engine: Engine) -> None:
+    """Raise what opening for reading has found damaged."""
+    if engine.recovered.damage:
+        raise StoreError(engine.recovered.damage)
+
+
+def verify(path: str | Path, limits: Limits) -> Findings:
+    """Read every byte of the log, then hold the checkpoint against it."""
+    found = Findings()
+    try:
+        whole = read(path, limits, checkpoints=False)
+    except (StoreError, OSError) as problem:
+        found.problems.append(str(problem))
+        return found
+    found.segments, found.records = whole.recovered.segments, whole.recovered.replayed
+    found.next_seq, found.torn_bytes = whole.state.next_seq, whole.recovered.torn_bytes
+    if whole.recovered.damage:
+        found.problems.append(whole.recovered.damage)
+        return found
+    truth = {key: place.seq for key, place in whole.places() if whole.value(place) is not None}
+    found.keys = len(truth)
+    quick = read(path, limits)
+    found.checkpoint = quick.recovered.checkpoint
+    if quick.recovered.bad_checkpoints:
+        found.problems.append(
+            f"{quick.recovered.bad_checkpoints} checkpoints can't be used; the log is whole"
+        )
+    told = {key: place.seq for key, place in quick.places()}
+    live = {key for key, place in whole.places() if not 0 < place.expiry <= whole.state.horizon}
+    if quick.state.next_seq == whole.state.next_seq and any(told.get(key) != truth[key] for key in live):
+        found.problems.append(f"{found.checkpoint}: it differs from the log")
+    return found
+
+
+def dump(path: str | Path, limits: Limits, space: str | None, most: int) -> Iterator[dict[str, object]]:
+    """Every record that is still in the log, in order."""
+    engine = read(path, limits, checkpoints=False)
+    names = {META: "", **{number: name for name, number in engine.spaces.items()}}
+    shown = 0
+    for segment in engine.state.segments.values():
+        for one in engine.frames(segment):
+            for record in records(one):
+                if space is not None and names.get(record.op.space) != space:
+                    continue
+                if shown == most:
+                    return
+                shown += 1
+                yield {
+                    "seq": record.seq,
+                    "file": segment.header.name,
+                    "offset": one.offset,
+                    "at": record.at,
+                    "space": names.get(record.op.space, str(record.op.space)),
+                    "kind": "put" if record.op.kind == 1 else "delete",
+                    "key": record.op.key.decode("utf-8", "replace"),
+                    "expiry": record.op.expiry,
+                    "value": record.op.value.hex(),
+                }
+    check(engine)
+
+
+def compact(path: str | Path, limits: Limits) -> dict[str, object]:
+    """Make the whole log as small as it goes; the store must not be in use."""
+    engine = Engine(RealDirectory(path), limits)
+    before = engine.used
+    now = engine.state.horizon
+    drive(engine.sweep(now))
+    if len(engine.sealed) > 1 or (engine.sealed and engine.sealed[0].live < engine.sealed[0].size):
+        drive(engine.compact(Run(0, len(engine.sealed) - 1, "asked for"), now))
+    drive(engine.checkpoint(now))
+    after = engine.used
+    problem = engine.stopped
+    engine.close()
+    if problem:
+        raise StoreError(problem)
+    return {"before": before, "after": after}
+
+
+def copy(path: str | Path, to: str | Path, limits: Limits) -> dict[str, object]:
+    """A whole copy as of one record number, into a folder that is empty or not there; a relay may be using
+    the store meanwhile. It is read back before this returns."""
+    engine = read(path, limits, checkpoints=False)
+    check(engine)
+    target = RealDirectory(to, create=True)
+    if target.names():
+        raise StoreError(f"{to}: not empty")
+    _write(target, STORE_FILE, pack_store(engine.store))
+    size = 0
+    for segment in engine.state.segments.values():
+        raw = engine.files[segment.header.id].read(0, segment.size)
+        _write(target, segment.header.name, raw)
+        size += len(raw)
+    target.sync()
+    back = Engine(RealDirectory(to, read_only=True), limits, read_only=True)
+    check(back)
+    if back.state.next_seq != engine.state.next_seq:
+        raise StoreError(
+            f"{to}: the copy ends at {back.state.next_seq - 1}, {engine.state.next_seq - 1} was read"
+        )
+    return {"next_seq": back.state.next_seq, "bytes": size, "segments": len(engine.state.segments)}
+
+
+def _write(target: Directory, name: str, raw: bytes) -> None:
+    file = target.create(name)
+    file.write(0, raw)
+    file.sync()
+    file.close()
+
+
+def restore(backup: str | Path, to: str | Path, limits: Limits) -> dict[str, object]:
+    """Verify a backup, and copy it where the relay will look for its store."""
+    found = verify(backup, limits)
+    if found.problems:
+        raise StoreError(found.problems[0])
+    return copy(backup, to, limits)
+
+
+def reading_limits() -> Limits:
+    """Wide enough for any store."""
+    return Limits(batch=64 << 20, value=16 << 20, on_damage=OnDamage.READ_ONLY, reserve=0)
