--- /dev/null
+++ b/loftroute/lab/killer.py
@@ -0,0 +1,72 @@
+"""A relay that ends itself with SIGKILL at a named point: `python -m loftroute.lab.killer run --settings
+FILE`.
+
+LOFTROUTE_KILL holds `POINT:N`: the N-th time that the point is passed is the last thing that happens. The
+points are methods of the product, wrapped here; the product knows nothing of it.
+"""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from loftroute.recall.keeper import Answering, Keeper
+from loftroute.relay.module import Module
+from loftroute.relay.units import Attempt
+from loftroute.store.engine import Engine
+
+# Point: class, method, whether it is passed before the method or after it.
+POINTS: dict[str, tuple[type, str, bool]] = {
+    "before the intent": (Keeper, "intend", True),
+    "intent written, not safe": (Keeper, "intend", False),
+    "committed, nobody told": (Engine, "_group_safe", True),
+    "intent safe": (Keeper, "_safe", True),
+    "request sent": (Module, "go", False),
+    "unit answered": (Keeper, "ended", True),
+    "outcome written, not safe": (Keeper, "ended", False),
+    "client answered": (Answering, "served", False),
+}
+
+
+def arm(point: str, number: int) -> None:
+    """Have this process end itself at the `number`-th passing of a point."""
+    owner, name, before = POINTS[point]
+    left = [number]
+    method: Callable[..., Any] = getattr(owner, name)
+
+    def passed() -> None:
+        left[0] -= 1
+        if left[0] == 0:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    def wrapped(*args: Any, **how: Any) -> Any:
+        if before:
+            passed()
+        result = method(*args, **how)
+        if not before:
+            passed()
+        return result
+
+    setattr(owner, name, wrapped)
+
+
+def unfence() -> None:
+    """Take the wait for the intent out: the control that shows what it is for."""
+
+    def at_once(keeper: Keeper, attempt: Attempt) -> None:
+        keeper._module.go(attempt)
+
+    setattr(Keeper, "intend", at_once)  # noqa: B010
+
+
+if __name__ == "__main__":
+    from loftroute.cli.main import main
+
+    if os.environ.get("LOFTROUTE_UNFENCED"):
+        unfence()
+    told = os.environ.get("LOFTROUTE_KILL", "")
+    if told:
+        point, _, count = told.rpartition(":")
+        arm(point, int(count))
+    sys.exit(main())
--- a/tests/standins.py
+++ b/loftroute/lab/standins.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 import time
 import tomllib
@@ -15,9 +16,9 @@
 from typing import Any
 from urllib.parse import parse_qs, urlparse
 
-from tests.harness import SETUP, setup
+from loftroute.lab.setup import SETUP, setup
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 SECOND = 1_000_000_000
 
 
@@ -253,6 +254,12 @@
                 "weight": 1.0, "startedAtMs": 0, "release": builds.get(name, 41), "at": 0}
         self.sockets = changes.pop("sockets", 256)
         self.news = changes.pop("news", None)
+        self.product = changes.pop("product", None)  # the text of the product's settings
+        self.program = changes.pop("program", "loftroute")
+        self.env = changes.pop("env", {})
+        zones = changes.pop("unit_zones", {})
+        for name, zone in zones.items():
+            self.discovery.entries[name]["zone"] = zone
         self.settings = setup(instances=1, zones=["a", "b"], host_types=["m"],
                               parties=[{"name": "acme", "allowance_per_s": 1000.0}], **changes)
         self.start()
@@ -277,10 +284,15 @@
     def start(self) -> None:
         path = self.write()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        if self.product is not None:
+            settings = self.tmp / "product.textproto"
+            settings.write_text(self.product)
+            run = f"exec {sys.executable} -B -m {self.program} run --settings {settings}"
         self.log = open(self.tmp / "log", "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run], cwd=ROOT,
-            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": self.discovery.address},
+            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": self.discovery.address,
+                 **self.env},
             stdout=self.log, stderr=self.log)
         eventually(self._ready)
 
@@ -302,12 +314,20 @@
     def read(self, client: Client, d: int = 3000, key: str = "k1") -> bytes | None:
         return client.ask("Q.ASK", key, self.id(), f"c=read,t=acme,d={d}")
 
-    def pay(self, client: Client, d: int = 3000) -> bytes | None:
-        return client.ask("Q.DO", "k1", self.id(), f"c=pay,t=acme,d={d}", "BODY")
+    def pay(self, client: Client, d: int = 3000, name: str | None = None) -> bytes | None:
+        return client.ask("Q.DO", "k1", name or self.id(), f"c=pay,t=acme,d={d}", "BODY")
+
+    def put(self, client: Client, d: int = 3000, name: str | None = None) -> bytes | None:
+        return client.ask("Q.DO", "k1", name or self.id(), f"c=put,t=acme,d={d},k=5c0f", "BODY")
 
     def text(self) -> str:
         return (self.tmp / "log").read_text()
 
+    def kill(self) -> None:
+        """End the process at once, and start it again as it was."""
+        self.stop()
+        self.start()
+
     def stop(self) -> None:
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -19,6 +19,7 @@
 from loftroute.store.time import resume
 
 CLOCK = "clock"
+NOWHERE = 255
 SWEEP_EVERY = 1_000 * MS
 CLOCK_EVERY = 10_000 * MS
 WEIGHTS = {"checkpoint": 4, "compact": 2, "sweep": 1}
@@ -41,7 +42,7 @@
         self._lag = lag or (lambda: scheduler.lag)
         self.boot = boot_name()
         self.engine = Engine(directory, limits, os.urandom(8))
-        self._clock_space = self.engine.space(CLOCK)
+        self._clock_space = self.space(CLOCK)
         begun = stamp(self.boot)
         self._offset = resume(self._last_clock(), begun, self.engine.state.horizon) - scheduler.clock.now()
         self._agenda = Agenda(budget, scheduler.clock.now())
@@ -71,7 +72,10 @@
         return self.scheduler.clock.now() + self._offset
 
     def space(self, name: str) -> int:
-        """A named space's number (blocking where it is new)."""
+        """A named space's number (blocking where it is new). In a store that takes no writes a new one is empty
+        and stays so."""
+        if self.engine.stopped and name not in self.engine.spaces:
+            return NOWHERE
         return self.engine.space(name)
 
     def submit(self, ops: Sequence[Op], done: Done) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.standins import Relay
+from loftroute.lab.standins import Relay
 
 
 @pytest.fixture
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,11 +6,11 @@
 import pytest
 
 from loftroute import config
+from loftroute.lab.standins import command, free_port
 from loftroute.relay.clients import Clients
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import READ, Scheduler
 from tests.harness import setup
-from tests.standins import command, free_port
 
 
 class Module:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.standins import ROOT, SECOND, Unit, command, eventually, free_port
+from loftroute.lab.standins import ROOT, SECOND, Unit, command, eventually, free_port
 
 MS = 1_000_000
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,7 +2,7 @@
 
 import signal
 
-from tests.standins import Discovery, Platform, Unit, eventually
+from loftroute.lab.standins import Discovery, Platform, Unit, eventually
 
 
 def test_after_sighup_list_changes_and_votes_come_from_the_new_addresses(relay):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,7 +3,7 @@
 import socket
 import time
 
-from tests.standins import Unit, command, eventually
+from loftroute.lab.standins import Unit, command, eventually
 
 
 def ended(client) -> bytes:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -86,9 +86,11 @@
 
 def test_a_store_that_acknowledges_before_the_sync_is_found_out(monkeypatch):
     """The checker is no ornament: with the sync's place taken out it finds records that are lost."""
+
     def at_once(self, group, now):
         active, state, seq = self.active, self.state, self.state.next_seq
         from loftroute.store.records import frame
+
         raw, places, at, link = [], [], active.end, active.link
         for waiting in group:
             data, link = frame(active.header.seed, link, seq, active.durable, now, waiting.body)
@@ -100,6 +102,7 @@
         state.segments[active.header.id].size = at
         self._group_safe(group, places, now)
         yield 0
+
     monkeypatch.setattr(Engine, "_write", at_once)
     with pytest.raises((AssertionError, StoreError)):
         trials(range(40), faults=False)
@@ -114,8 +117,10 @@
     engine, space = start(disk)
     rng, seen = random.Random(5), []
     for n in range(14):
-        ops = [Op(PUT if rng.random() < 0.8 else DELETE, space, b"k%d" % rng.randrange(6), b"v%d" % n)
-               for _ in range(rng.randint(1, 3))]
+        ops = [
+            Op(PUT if rng.random() < 0.8 else DELETE, space, b"k%d" % rng.randrange(6), b"v%d" % n)
+            for _ in range(rng.randint(1, 3))
+        ]
         engine.submit(ops, lambda problem: None)
         drive(engine.commit(n))
         seen.append((engine.active.header.name, engine.active.end, state(engine, space)))
@@ -240,6 +245,7 @@
             left[0] -= 1
             return OSError(kind, "planned", name)
         return None
+
     return fail
 
 
@@ -334,8 +340,11 @@
 def test_what_is_too_large_or_too_much_is_refused_and_nothing_is_written():
     disk = Disk(random.Random(2))
     engine, space = start(disk, replace(PLAIN, total=4000))
-    for op, kind in [(Op(PUT, space, b"k" * 2000), TooLarge), (Op(PUT, space, b""), TooLarge),
-                     (Op(PUT, space, b"k", b"v" * (1 << 20)), TooLarge)]:
+    for op, kind in [
+        (Op(PUT, space, b"k" * 2000), TooLarge),
+        (Op(PUT, space, b""), TooLarge),
+        (Op(PUT, space, b"k", b"v" * (1 << 20)), TooLarge),
+    ]:
         with pytest.raises(kind):
             engine.submit([op], lambda _: None)
     with pytest.raises(TooLarge):
@@ -369,8 +378,9 @@
 
     @rule(keys=st.lists(keys, max_size=4))
     def delete(self, keys):
-        self.engine.submit([Op(DELETE, self.space, k) for k in keys] + [Op(PUT, self.other, b"n", b"1")],
-                           lambda _: None)
+        self.engine.submit(
+            [Op(DELETE, self.space, k) for k in keys] + [Op(PUT, self.other, b"n", b"1")], lambda _: None
+        )
         drive(self.engine.commit(self.now))
         for key in keys:
             self.model.pop(key, None)
@@ -413,15 +423,17 @@
         assert dict(self.engine.scan(self.space, b"", now)) == self.shown(now)
         assert list(self.engine.scan(self.space, b"", now)) == sorted(self.shown(now).items())
         assert dict(self.engine.scan(self.space, b"b", now)) == {
-            k: v for k, v in self.shown(now).items() if k.startswith(b"b")}
+            k: v for k, v in self.shown(now).items() if k.startswith(b"b")
+        }
         for key in (b"a", b"zz"):
             assert self.engine.get(self.space, key, now) == self.shown(now).get(key)
         if self.held:
             assert dict(self.engine.scan(self.space, b"", now, self.held[0])) == self.held[1]
 
 
-Keyed.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=30, deadline=None,
-                                              derandomize=True, database=None)
+Keyed.TestCase.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True, database=None
+)
 TestKeyed = Keyed.TestCase
 
 
@@ -434,8 +446,10 @@
         if rng.random() < 0.2:
             engine.submit([Op(DELETE, space, b"k%d" % rng.randrange(300))], lambda _: None)
         else:
-            engine.submit([Op(PUT, space, b"k%d" % rng.randrange(300), b"v" * 60, n + 900 if n % 3 else 0)],
-                          lambda _: None)
+            engine.submit(
+                [Op(PUT, space, b"k%d" % rng.randrange(300), b"v" * 60, n + 900 if n % 3 else 0)],
+                lambda _: None,
+            )
         if n % 4 == 0:
             drive(engine.commit(n))
         if run := engine.compaction_due():
@@ -525,9 +539,12 @@
     again, space = start(disk.crash())
     found = state(again, space)
     assert {k: v for k, v in found.items() if not k.startswith(b"again")} == {
-        k: v for k, v in wanted.items() if not k.startswith(b"again")}
-    assert all(not NAME.fullmatch(n) or n in {s.header.name for s in again.state.segments.values()}
-               for n in again.directory.names())
+        k: v for k, v in wanted.items() if not k.startswith(b"again")
+    }
+    assert all(
+        not NAME.fullmatch(n) or n in {s.header.name for s in again.state.segments.values()}
+        for n in again.directory.names()
+    )
 
 
 def test_a_batch_is_there_whole_or_not_at_all():
