Store: batches share frames, compaction read in steps; background and store measured

Change: batches that wait together share a frame of up to 16 KiB; keys are put in order only when scanned; compaction, checkpoints read and write 16 KiB a step. A worker thread on SimpleQueue.

--- a/loftroute/runtime/worker.py
+++ b/loftroute/runtime/worker.py
@@ -28,7 +28,8 @@
 
     def __init__(self, scheduler: Scheduler, bound: int = 64) -> None:
         self._scheduler = scheduler
-        self._calls: queue.Queue[Call | None] = queue.Queue(bound)
+        self._calls: queue.SimpleQueue[Call | None] = queue.SimpleQueue()
+        self._bound = bound
         self._ended: deque[Call] = deque()
         self._told, self._tell = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         self.events = 0
@@ -44,10 +45,9 @@
         """
         task = greenlet.getcurrent()
         call = Call(work, task)
-        try:
-            self._calls.put_nowait(call)
-        except queue.Full:
+        if self._calls.qsize() >= self._bound:
             return TimeoutError("the worker thread has too many calls waiting")
+        self._calls.put(call)
         while not call.done:
             if until is not None and self._scheduler.clock.now() >= until:
                 return TimeoutError("the call did not end in time")
@@ -55,8 +55,7 @@
         return call.problem
 
     def stop(self) -> None:
-        with contextlib.suppress(queue.Full):
-            self._calls.put_nowait(None)
+        self._calls.put(None)
 
     def _work(self) -> None:
         while (call := self._calls.get()) is not None:
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -72,8 +72,8 @@
         return self.scheduler.clock.now() + self._offset
 
     def space(self, name: str) -> int:
-        """A named space's number (blocking where it is new). In a store that takes no writes a new one is empty
-        and stays so."""
+        """A named space's number (blocking where it is new). In a store that takes no writes a new one is
+        empty and stays so."""
         if self.engine.stopped and name not in self.engine.spaces:
             return NOWHERE
         return self.engine.space(name)
--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -45,11 +45,13 @@
     read_store,
     records,
 )
-from loftroute.store.state import PAGE, CutOff, Segment, Snapshot, State, op_key
+from loftroute.store.state import PAGE, CutOff, Layer, Segment, Snapshot, State, op_key
 
 RESERVE = "RESERVE"
 META = 0  # the space that holds the names and numbers of the others
-STEP = 64 << 10  # bytes that a step of background work moves
+FRAME_BYTES = 16 << 10  # batches share a frame up to this size, since a read reads a whole frame
+STEP = 16 << 10  # bytes that a step of background work moves: it keeps the hub for about a millisecond
+READ_ON = 32 << 10  # bytes read at a time
 
 
 class Sync(NamedTuple):
@@ -62,10 +64,8 @@
 Done = Callable[[StoreError | None], None]
 
 
-class Waiting(NamedTuple):
-    ops: Sequence[Op]
-    body: bytes
-    done: Done
+Waiting = tuple[Sequence[Op], int, Done]  # a batch, its bytes, and who is told
+Place = tuple[int, int, int, list[Op]]  # a frame's offset, length, first number, and changes
 
 
 class Change(NamedTuple):
@@ -177,6 +177,7 @@
         )
         self.active: Active | None = None
         self.spaces: dict[str, int] = {}
+        self._sealed_bytes = 0
         self._row = 0  # syncs that failed, one after another
         self._committing = self._compacting = self._checkpointing = False
         self._reserved = False
@@ -374,7 +375,7 @@
             for record in changes:
                 self.recovered.replayed += 1
                 if record.seq >= before:
-                    self.state.apply(record, found.id, one.offset, one.end - one.offset, share)
+                    self.state.apply(record.seq, record.op, found.id, one.offset, one.end - one.offset, share)
                 elif record.op.kind == PUT:
                     self.state.found_moved(
                         op_key(record.op),
@@ -420,6 +421,7 @@
         self.files[made.id] = file
         state.segments[made.id] = Segment(made, at)
         self.active = Active(file, made, at, at, link, marked=False)
+        self._sealed_bytes = sum(s.size for s in self.sealed)
         self._apply(made, copied, None)
         state.time(now)
 
@@ -442,26 +444,35 @@
     @property
     def used(self) -> int:
         """Bytes that the log takes up, with what waits to be written."""
-        return sum(s.size for s in self.sealed) + (self.active.end if self.active else 0) + self.pending_bytes
+        return self._sealed_bytes + (self.active.end if self.active else 0) + self.pending_bytes
 
-    def check(self, ops: Sequence[Op]) -> None:
-        """Raise `Refused` where a batch can't be taken now."""
+    def _too_large(self, ops: Sequence[Op]) -> plan.TooLarge:
         limits = self.limits
-        if self.stopped:
-            raise plan.ReadOnly(self.stopped)
-        size = 0
         for op in ops:
             if not 0 < len(op.key) <= limits.key:
-                raise plan.TooLarge(f"a key of {len(op.key)} bytes, 1 to {limits.key} are allowed")
+                return plan.TooLarge(f"a key of {len(op.key)} bytes, 1 to {limits.key} are allowed")
             if len(op.value) > limits.value:
-                raise plan.TooLarge(f"a value of {len(op.value)} bytes, {limits.value} are allowed")
-            size += RECORD.size + len(op.key) + len(op.value)
+                return plan.TooLarge(f"a value of {len(op.value)} bytes, {limits.value} are allowed")
+        return plan.TooLarge(f"a batch of more than {limits.batch} bytes")
+
+    def check(self, ops: Sequence[Op]) -> int:
+        """The bytes of a batch's records; raises `Refused` where it can't be taken now."""
+        limits = self.limits
+        if self.stopped:
+            raise plan.ReadOnly(self.stopped)
+        size, longest, largest = 0, limits.key, limits.value
+        for _, _, key, value, _ in ops:
+            if not 0 < len(key) <= longest or len(value) > largest:
+                raise self._too_large(ops)
+            size += len(key) + len(value)
+        size += RECORD.size * len(ops)
         if size > limits.batch:
-            raise plan.TooLarge(f"a batch of {size} bytes, {limits.batch} are allowed")
+            raise self._too_large(ops)
         if self.pending_bytes + size > limits.pending:
             raise plan.Busy(f"{self.pending_bytes} bytes wait to be written, {limits.pending} may")
-        if self.used + size + FRAME.size > limits.total:
+        if self._sealed_bytes + self.writing.end + self.pending_bytes + size + FRAME.size > limits.total:
             raise plan.Full(f"{self.used} bytes are kept, {limits.total} may be")
+        return size
 
     def submit(self, ops: Sequence[Op], done: Done) -> None:
         """Take a batch, all or nothing; `done` is called once, with None when it is safe.
@@ -469,13 +480,12 @@
         Raises `Refused` and has changed nothing where it can't be taken.
         """
         try:
-            self.check(ops)
+            size = self.check(ops)
         except plan.Refused:
             self.count["refused"] += 1
             raise
-        body = payload(list(ops))
-        self.pending.append(Waiting(ops, body, done))
-        self.pending_bytes += len(body) + FRAME.size
+        self.pending.append((ops, size, done))
+        self.pending_bytes += size
 
     def commit(self, now: int) -> Steps:
         """Write all that waits and sync it once. `now` is store time."""
@@ -499,13 +509,13 @@
         finally:
             self._committing = False
             if failed:
-                for waiting in group:
-                    waiting.done(failed)
+                for _, _, done in group:
+                    done(failed)
 
     def _turn_down(self) -> None:
         waiting, self.pending, self.pending_bytes = self.pending, [], 0
-        for one in waiting:
-            one.done(plan.ReadOnly(self.stopped))
+        for _, _, done in waiting:
+            done(plan.ReadOnly(self.stopped))
 
     def _mark(self, now: int) -> None:
         """With nothing to write, note how much is safe: damage to the last group is then no torn tail."""
@@ -527,14 +537,7 @@
     ) -> Generator[Sync | int, Exception | None, StoreError | None]:
         active, state = self.active, self.state
         assert active is not None
-        at, link, seq, seed = active.end, active.link, state.next_seq, active.header.seed
-        raw, places = [], []
-        for _, body, _ in group:
-            data, link = frame(seed, link, seq, active.durable, now, body)
-            raw.append(data)
-            places.append((at, len(data), seq))
-            at += len(data)
-            seq += len(group[len(places) - 1].ops)
+        raw, places, at, link = self._frames(active, group, now)
         try:
             active.file.write(active.end, b"".join(raw))
         except OSError as problem:
@@ -548,20 +551,41 @@
         self._row = 0
         active.durable, active.marked = at, False
         state.segments[active.header.id].size = at
-        self._group_safe(group, places, now)
+        self._group_safe(group, places)
         return None
 
-    def _group_safe(self, group: list[Waiting], places: list[tuple[int, int, int]], now: int) -> None:
+    def _frames(
+        self, active: Active, group: list[Waiting], now: int
+    ) -> tuple[list[bytes], list[Place], int, int]:
+        """Batches as frames: small ones share one, which saves its head and checksum; none is split."""
+        at, link, seq, seed = active.end, active.link, self.state.next_seq, active.header.seed
+        raw: list[bytes] = []
+        places: list[Place] = []
+        ops: list[Op] = []
+        size = 0
+        for place, (batch, length, _) in enumerate(group):
+            ops += batch
+            size += length
+            if size < FRAME_BYTES and place + 1 < len(group):
+                continue
+            data, link = frame(seed, link, seq, active.durable, now, payload(ops))
+            raw.append(data)
+            places.append((at, len(data), seq, ops))
+            at, seq = at + len(data), seq + len(ops)
+            ops, size = [], 0
+        return raw, places, at, link
+
+    def _group_safe(self, group: list[Waiting], places: list[Place]) -> None:
         number, apply = self.writing.header.id, self.state.apply
-        for waiting, (offset, length, seq) in zip(group, places, strict=True):
-            share = length // len(waiting.ops)
-            for op in waiting.ops:
-                apply(Record(seq, op, now), number, offset, length, share)
+        for offset, length, seq, ops in places:
+            share = length // max(len(ops), 1)
+            for op in ops:
+                apply(seq, op, number, offset, length, share)
                 seq += 1
-            self.count["appended"] += len(waiting.ops)
+            self.count["appended"] += len(ops)
             self.count["appended_bytes"] += length
-        for waiting in group:
-            waiting.done(None)
+        for _, _, done in group:
+            done(None)
 
     def _take_back(
         self, active: Active, problem: OSError
@@ -612,6 +636,7 @@
         segment = self.state.segments[old.header.id]
         segment.size = old.durable
         self.sealed.append(segment)
+        self._sealed_bytes += segment.size
         self.files[made.id] = file
         self.state.segments[made.id] = Segment(made, HEADER_SIZE)
         self.active = Active(file, made, HEADER_SIZE, HEADER_SIZE, made.seed)
@@ -836,14 +861,8 @@
     def _copy(self, segment: Segment, output: "Output", clean: int, now: int) -> Steps:
         """What of a file is still needed. An expired record hides older ones of its key as a deletion does,
         and becomes one; a deletion goes once nothing before it can be hidden by it."""
-        found = segment.header
-        data = self.files[found.id].read(0, segment.size)
-        frames, end = plan.walk(
-            data, found, self.limits.batch + 4096, HEADER_SIZE, found.base + 1, found.seed
-        )
-        plan.whole(found, frames, end, segment.size)
         moved = 0
-        for one in frames:
+        for one in self._read_on(segment):
             kept: list[Record] = []
             for record in records(one):
                 op = record.op
@@ -863,6 +882,25 @@
         output.flush()
         yield moved
 
+    def _read_on(self, segment: Segment) -> Iterator[Frame]:
+        """The frames of a sealed segment, read a part at a time; `Damaged` where it is not whole."""
+        found, limit = segment.header, self.limits.batch + 4096
+        at, link, seq = HEADER_SIZE, found.seed, found.base + 1
+        last: Frame | None = None
+        while at < segment.size:
+            part = READ_ON
+            frames: list[Frame] = []
+            while not frames and part < 16 * max(READ_ON, limit):
+                raw = self.files[found.id].read(at, min(part, segment.size - at))
+                frames = plan.walk_from(raw, found, limit, at, seq, link)
+                part *= 4
+            if not frames:
+                raise Damaged(found.name, at, "unreadable")
+            yield from frames
+            last = frames[-1]
+            at, link, seq = last.end, last.crc, last.seq + plan.count(last)
+        plan.whole(found, [last] if last else [], at, segment.size)
+
     def _hides(self, record: Record) -> bool:
         """A deletion, or a put that expired, is the last word on its key. Superseded ones hide nothing that
         the later does not."""
@@ -882,6 +920,7 @@
                 yield PAGE * 64
         at = self.sealed.index(inputs[0])
         self.sealed[at : at + len(inputs)] = [segment]
+        self._sealed_bytes = sum(s.size for s in self.sealed)
         for old in inputs:
             del state.segments[old.header.id]
             self.files.pop(old.header.id).close()
@@ -914,13 +953,13 @@
             file = self.directory.create(name + TEMPORARY)
             for key, place in _merged(state, summary):
                 writer.add(key, place)
-                if writer.count % 1024 == 0:
+                if writer.count % 128 == 0:
                     size = self._extend(file, size, writer.taken())
-                    yield 1024 * 48
+                    yield 128 * 48
             size = self._extend(file, size, writer.finish(summary))
             if problem := (yield Sync(file.sync)):
                 raise problem
-            base = Reader(name, size, file.read, self.store)
+            base = Reader(name, size, file.read, self.store, check=False)
             self.directory.rename(file.name, name)
             if problem := (yield Sync(self.directory.sync)):
                 raise problem
@@ -1025,8 +1064,8 @@
         if self.active and not self.stopped and not self._committing:
             drive(self.commit(self.state.horizon))
             drive(self.commit(self.state.horizon))
-        for waiting in self.pending:
-            waiting.done(plan.ReadOnly(self.stopped or "closed"))
+        for _, _, done in self.pending:
+            done(plan.ReadOnly(self.stopped or "closed"))
         self.pending = []
         for file in self.files.values():
             file.close()
@@ -1093,8 +1132,8 @@
 def _merged(state: State, summary: Summary) -> Iterator[tuple[bytes, Location]]:
     """The frozen layer over the checkpoint, in order; the layers above may change. What the checkpoint has in
     files that are gone is left out, and counts no more."""
-    frozen, base = state.frozen or {}, state.base
-    above = iter(list(frozen.items()))
+    frozen, base = state.frozen or Layer(), state.base
+    above = iter([(key, frozen[key]) for key in frozen.after(b"")])
     key, place = next(above, (None, None))
     for old, where in base.scan(b"") if base else ():
         while key is not None and key < old:
--- a/loftroute/store/index.py
+++ b/loftroute/store/index.py
@@ -85,8 +85,10 @@
 class Reader:
     """An opened checkpoint, read through `read(offset, size)`."""
 
-    def __init__(self, name: str, size: int, read: Callable[[int, int], bytes], store: bytes) -> None:
-        """Check it whole, or raise `Damaged`."""
+    def __init__(
+        self, name: str, size: int, read: Callable[[int, int], bytes], store: bytes, check: bool = True
+    ) -> None:
+        """Check it whole, or raise `Damaged`; one that was just written need not be read again."""
         self.name, self._read = name, read
         tail = read(max(size - TAIL.size, 0), TAIL.size)
         if len(tail) < TAIL.size or size < HEAD.size + TAIL.size:
@@ -95,13 +97,13 @@
         if magic != INDEX_MAGIC or read(0, HEAD.size) != HEAD.pack(INDEX_MAGIC, VERSION, store):
             raise Damaged(name, 0, "not a checkpoint of this store")
         found, offset, end = 0, 0, size - TAIL.size
-        while offset < end:
+        while check and offset < end:
             part = read(offset, min(1 << 20, end - offset))
             if not part:
                 break
             found = google_crc32c.extend(found, part) if offset else google_crc32c.value(part)
             offset += len(part)
-        if found != crc or not HEAD.size <= at <= end:
+        if (check and found != crc) or not HEAD.size <= at <= end:
             raise Damaged(name, 0, "its checksum is wrong")
         raw, _ = unpacked(read(at, end - at), 0, name, at)
         self.summary = Summary(**raw)  # type: ignore[arg-type]
--- a/loftroute/store/records.py
+++ b/loftroute/store/records.py
@@ -2,7 +2,7 @@
 
 import re
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -12,6 +12,7 @@
 VERSION = 1
 HEADER = struct.Struct("<8sHBBQQIQQQ8s")  # ... and its crc32c
 FRAME = struct.Struct("<IIIQQQ")
+HEAD = struct.Struct("<IIQQQ")  # ... behind its checksum
 RECORD = struct.Struct("<BBHIQ")
 CRC = struct.Struct("<I")
 HEADER_SIZE = HEADER.size + CRC.size
@@ -150,19 +151,20 @@
     return found
 
 
-def payload(ops: list[Op]) -> bytes:
+def payload(ops: Sequence[Op]) -> bytes:
     """A batch's records, one behind another."""
     parts: list[bytes] = []
+    pack = RECORD.pack
     for kind, space, key, value, expiry in ops:
-        parts += (RECORD.pack(kind, space, len(key), len(value), expiry), key, value)
+        parts += (pack(kind, space, len(key), len(value), expiry), key, value)
     return b"".join(parts)
 
 
 def frame(start: int, link: int, seq: int, durable: int, at: int, body: bytes) -> tuple[bytes, int]:
     """A batch as it is written, and its checksum; `start` is its segment's seed."""
-    raw = FRAME.pack(0, len(body), link, seq, durable, at)[4:]
-    crc = google_crc32c.extend(google_crc32c.extend(start, raw), body)
-    return CRC.pack(crc) + raw + body, crc
+    raw = HEAD.pack(len(body), link, seq, durable, at) + body
+    crc = google_crc32c.extend(start, raw)
+    return CRC.pack(crc) + raw, crc
 
 
 def parse(data: bytes, at: int, offset: int, start: int, limit: int) -> Frame | None:
@@ -175,7 +177,7 @@
     if length > limit or end > len(data) or durable > offset:
         return None
     body = data[at + FRAME.size : end]
-    if google_crc32c.extend(google_crc32c.extend(start, data[at + 4 : at + FRAME.size]), body) != crc:
+    if google_crc32c.extend(start, data[at + CRC.size : end]) != crc:
         return None
     return Frame(offset, offset + FRAME.size + length, crc, link, seq, durable, when, body)
 
--- a/loftroute/store/state.py
+++ b/loftroute/store/state.py
@@ -9,7 +9,7 @@
 from itertools import islice
 from typing import Any, Protocol
 
-from sortedcontainers import SortedDict
+from sortedcontainers import SortedList
 
 from loftroute.store.records import PUT, Header, Location, Op, Record, StoreError
 
@@ -58,6 +58,34 @@
 
 
 _MISSING = object()
+_SPACES = tuple(bytes((number,)) for number in range(256))
+
+
+class Layer(dict[bytes, Location | None]):
+    """Keys and where they lie; None where a key is gone. Put in order only when somebody asks for that, since
+    there are many changes for each scan."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._order: SortedList = SortedList()
+        self._fresh: list[bytes] = []
+
+    def put(self, key: bytes, place: Location | None) -> None:
+        if key not in self:
+            self._fresh.append(key)
+        self[key] = place
+
+    def take(self, other: "Layer") -> None:
+        for key, place in other.items():
+            self.put(key, place)
+
+    def after(self, key: bytes) -> Iterator[bytes]:
+        """Keys from one on, in order."""
+        if self._fresh:
+            self._order.update(self._fresh)
+            self._fresh = []
+        found: Iterator[bytes] = self._order.irange(key)
+        return found
 
 
 class State:
@@ -66,8 +94,8 @@
 
     def __init__(self, snapshot_keys: int) -> None:
         self._snapshot_keys = snapshot_keys
-        self.overlay: SortedDict = SortedDict()
-        self.frozen: SortedDict | None = None
+        self.overlay = Layer()
+        self.frozen: Layer | None = None
         self.base: Base | None = None
         self.segments: dict[int, Segment] = {}
         self.usage: dict[int, list[int]] = {}  # space: keys, bytes
@@ -120,7 +148,7 @@
 
         Only one page at a time, so that writers may go on between two. `every` gives the expired too.
         """
-        layers = [islice(layer.irange(after), PAGE) for layer in (self.overlay, self.frozen) if layer]
+        layers = [islice(layer.after(after), PAGE) for layer in (self.overlay, self.frozen) if layer]
         found = [list(layer) for layer in layers]
         if self.base:
             found.append([key for key, _ in islice(self.base.scan(after), PAGE)])
@@ -143,37 +171,49 @@
 
     # ---- changing
 
-    def apply(self, record: Record, file: int, offset: int, length: int, size: int) -> None:
-        """A record that is safe: it lies in that frame of that file, and takes up `size` bytes of it."""
-        op = record.op
-        key = bytes((op.space,)) + op.key
-        self.next_seq = record.seq + 1
-        self._leave(key)
+    def apply(self, seq: int, op: Op, file: int, offset: int, length: int, size: int) -> None:
+        """A change that is safe: it lies in that frame of that file, and takes up `size` bytes of it."""
+        kind, space, name, _, expiry = op
+        key = _SPACES[space] + name
+        self.next_seq = seq + 1
+        overlay = self.overlay
+        told: Any = overlay.get(key, _MISSING)
+        if told is _MISSING and self.frozen is None and self.base is None:
+            if self.snapshots:
+                self._keep(key, None)
+        elif told is not None:
+            self._leave(key)
+        elif self.snapshots:
+            self._keep(key, None)
         segment = self.segments[file]
-        if op.kind == PUT:
-            self.overlay[key] = Location(record.seq, file, offset, length, size, op.expiry)
+        if kind == PUT:
+            overlay.put(key, Location(seq, file, offset, length, size, expiry))
             segment.live += size
-            self.use(op.space, 1, size)
+            self.use(space, 1, size)
         else:
-            self.overlay[key] = None
+            overlay.put(key, None)
             segment.deletions += size
 
-    def _leave(self, key: bytes) -> Location | None:
+    def _leave(self, key: bytes) -> None:
         """What the key was counts no more; snapshots keep it."""
         told = self._told(key)
         old = told if told and told.file in self.segments else None
-        for snapshot in self.snapshots:
-            snapshot.kept.setdefault(key, old)
-            if len(snapshot.kept) > self._snapshot_keys:
-                self.cut(snapshot)
+        self._keep(key, old)
         if old:
             self.segments[old.file].live -= old.size
         if told:
             self.use(key[0], -1, -told.size)
-        return old
+
+    def _keep(self, key: bytes, old: Location | None) -> None:
+        for snapshot in self.snapshots:
+            snapshot.kept.setdefault(key, old)
+            if len(snapshot.kept) > self._snapshot_keys:
+                self.cut(snapshot)
 
     def use(self, space: int, keys: int, size: int) -> None:
-        usage = self.usage.setdefault(space, [0, 0])
+        usage = self.usage.get(space)
+        if usage is None:
+            usage = self.usage[space] = [0, 0]
         usage[0] += keys
         usage[1] += size
 
@@ -184,7 +224,7 @@
         if not current or current.seq != place.seq or not 0 < current.expiry <= self.time(now):
             return False
         self._leave(key)
-        self.overlay[key] = None
+        self.overlay.put(key, None)
         self.expired += 1
         return True
 
@@ -192,7 +232,7 @@
         """What the checkpoint has in a file that is gone was still counted."""
         if place.file not in self.segments and self._told(key) == place:
             self.use(key[0], -1, -place.size)
-            self.overlay[key] = None
+            self.overlay.put(key, None)
 
     def moved(self, key: bytes, seq: int, place: Location) -> None:
         """A record was copied elsewhere; only whoever still means that record follows it."""
@@ -201,7 +241,7 @@
             self.segments[current.file].live -= current.size
             self.segments[place.file].live += place.size
             self.use(key[0], 0, place.size - current.size)
-            self.overlay[key] = place
+            self.overlay.put(key, place)
         for snapshot in self.snapshots:
             kept = snapshot.kept.get(key)
             if kept and kept.seq == seq:
@@ -213,7 +253,7 @@
         known = self.base.lookup(key) if self.base else None
         if key in self.overlay or not known or known.seq != place.seq:
             return False
-        self.overlay[key] = place
+        self.overlay.put(key, place)
         self.segments[place.file].live += place.size
         self.use(key[0], 0, place.size - known.size)
         return True
@@ -249,12 +289,12 @@
 
     def freeze(self) -> None:
         """The next checkpoint takes what is here; changes from now on lie above it."""
-        self.frozen, self.overlay = self.overlay, SortedDict()
+        self.frozen, self.overlay = self.overlay, Layer()
 
     def thaw(self) -> None:
         """The checkpoint came to nothing: the layers are one again."""
         if self.frozen is not None:
-            self.frozen.update(self.overlay)
+            self.frozen.take(self.overlay)
             self.overlay, self.frozen = self.frozen, None
 
     def rebase(self, base: Base) -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -88,19 +88,12 @@
     """The checker is no ornament: with the sync's place taken out it finds records that are lost."""
 
     def at_once(self, group, now):
-        active, state, seq = self.active, self.state, self.state.next_seq
-        from loftroute.store.records import frame
-
-        raw, places, at, link = [], [], active.end, active.link
-        for waiting in group:
-            data, link = frame(active.header.seed, link, seq, active.durable, now, waiting.body)
-            raw.append(data)
-            places.append((at, len(data), seq))
-            at, seq = at + len(data), seq + len(waiting.ops)
+        active = self.active
+        raw, places, at, link = self._frames(active, group, now)
         active.file.write(active.end, b"".join(raw))
         active.end, active.link, active.durable = at, link, at
-        state.segments[active.header.id].size = at
-        self._group_safe(group, places, now)
+        self.state.segments[active.header.id].size = at
+        self._group_safe(group, places)
         yield 0
 
     monkeypatch.setattr(Engine, "_write", at_once)
