Store: a filter and smaller steps keep compaction out of the 99th percentile

Cause: with recall on and compaction running at 8 clients the 99th percentile was 3.8 times that of recall off, 1.6 without compaction. Each record compacted cost up to three look-ups in the checkpoint, each of which unpacked a block of 64 keys, 16 KiB of log a step.

Change: a Bloom filter beside the checkpoint answers for keys that are not there, blocks hold 32 keys, one look-up a record, steps of 4 KiB.

--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -50,7 +50,7 @@
 RESERVE = "RESERVE"
 META = 0  # the space that holds the names and numbers of the others
 FRAME_BYTES = 16 << 10  # batches share a frame up to this size, since a read reads a whole frame
-STEP = 16 << 10  # bytes that a step of background work moves: it keeps the hub for about a millisecond
+STEP = 4 << 10  # bytes that a step of background work moves: it keeps the hub for about a millisecond
 READ_ON = 32 << 10  # bytes read at a time
 
 
@@ -866,12 +866,14 @@
             kept: list[Record] = []
             for record in records(one):
                 op = record.op
-                if op.kind == PUT and self.state.needed(op_key(op), record, now):
+                key = op_key(op)
+                current = self.state.lookup(key)
+                if op.kind == PUT and self.state.needed(key, record, now, current):
                     kept.append(record)
                     continue
-                if op.kind == PUT and (place := self.state.lookup(op_key(op))) and place.seq == record.seq:
-                    self.state.drop_expired(op_key(op), place, now)
-                if record.seq >= clean and self._hides(record):
+                if op.kind == PUT and current and current.seq == record.seq:
+                    self.state.drop_expired(key, current, now)
+                if record.seq >= clean and self._hides(record, current):
                     kept.append(record._replace(op=Op(DELETE, op.space, op.key)))
             output.add(kept, one.at)
             moved += one.end - one.offset
@@ -901,12 +903,11 @@
             at, link, seq = last.end, last.crc, last.seq + plan.count(last)
         plan.whole(found, [last] if last else [], at, segment.size)
 
-    def _hides(self, record: Record) -> bool:
+    def _hides(self, record: Record, current: Location | None) -> bool:
         """A deletion, or a put that expired, is the last word on its key. Superseded ones hide nothing that
         the later does not."""
         if record.op.kind == PUT and not record.op.expiry:
             return False
-        current = self.state.lookup(op_key(record.op))
         return current is None or current.seq == record.seq
 
     def _install(self, made: Header, inputs: list[Segment], output: "Output") -> Steps:
@@ -916,8 +917,8 @@
         state.segments[made.id] = segment
         for number, (key, place) in enumerate(output.moved):
             state.moved(key, place.seq, place)
-            if number % PAGE == PAGE - 1:
-                yield PAGE * 64
+            if number % 32 == 31:
+                yield 32 * 64
         at = self.sealed.index(inputs[0])
         self.sealed[at : at + len(inputs)] = [segment]
         self._sealed_bytes = sum(s.size for s in self.sealed)
@@ -956,6 +957,8 @@
                 if writer.count % 128 == 0:
                     size = self._extend(file, size, writer.taken())
                     yield 128 * 48
+            for _ in writer.filtering():
+                yield 0
             size = self._extend(file, size, writer.finish(summary))
             if problem := (yield Sync(file.sync)):
                 raise problem
--- a/loftroute/store/index.py
+++ b/loftroute/store/index.py
@@ -6,6 +6,8 @@
 """
 
 import struct
+import zlib
+from array import array
 from bisect import bisect_right
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -15,7 +17,8 @@
 
 from loftroute.store.records import INDEX_MAGIC, VERSION, Damaged, Location, packed, unpacked
 
-BLOCK = 64  # keys
+BLOCK = 32  # keys
+BITS, HASHES = 10, 4  # of the filter, for each key: about one in 80 new keys is looked for in vain
 HEAD = struct.Struct("<8sH8s")
 TAIL = struct.Struct("<QI8s")  # where the summary begins, the checksum of all before, the magic again
 
@@ -30,6 +33,7 @@
     files: dict[int, tuple[int, int, int]]  # id: bytes, live bytes, bytes of deletions
     usage: dict[int, tuple[int, int]]  # space: keys, bytes
     count: int = 0
+    absent: bytes = b""  # a Bloom filter (Bloom, 1970): a key whose bits are not all set is not there
     firsts: list[bytes] = field(default_factory=list)
     offsets: list[int] = field(default_factory=list)
 
@@ -48,12 +52,15 @@
         self.firsts: list[bytes] = []
         self.offsets: list[int] = []
         self.count = 0
+        self._hashes = array("Q")
+        self._bits = bytearray()
 
     def add(self, key: bytes, location: Location) -> None:
         if not self._block:
             self.firsts.append(key)
             self.offsets.append(self._size)
         self._block.append((key, *location))
+        self._hashes.append(zlib.crc32(key) << 32 | google_crc32c.value(key))
         self.count += 1
         if len(self._block) == BLOCK:
             self._close_block()
@@ -66,11 +73,25 @@
     def finish(self, summary: Summary) -> bytes:
         self._close_block()
         summary.firsts, summary.offsets, summary.count = self.firsts, self.offsets, self.count
+        summary.absent = bytes(self._bits)
         at = self._size
         self._put(packed(summary.raw()))
         self._out.append(TAIL.pack(at, self._crc, INDEX_MAGIC))
         return self.taken()
 
+    def filtering(self) -> Iterator[None]:
+        """Make the filter, a part at each step, once all keys are there."""
+        bits = self._bits = bytearray(self.count * BITS // 8 + 8)
+        size = len(bits) * 8
+        for number, both in enumerate(self._hashes):
+            if number % 256 == 255:
+                yield
+            place, step = both & 0xFFFFFFFF, both >> 32 | 1
+            for _ in range(HASHES):
+                at = place % size
+                bits[at >> 3] |= 1 << (at & 7)
+                place += step
+
     def _close_block(self) -> None:
         if self._block:
             self._put(packed(self._block))
@@ -110,6 +131,19 @@
         self._firsts, self._offsets = list(self.summary.firsts), [*self.summary.offsets, at]
         self.summary.firsts, self.summary.offsets = [], []
         self.count = self.summary.count
+        self._bits, self.summary.absent = self.summary.absent, b""
+
+    def _absent(self, key: bytes) -> bool:
+        """Surely not there: most keys that come are new, and cost no read."""
+        bits = self._bits
+        size = len(bits) * 8
+        place, step = google_crc32c.value(key), zlib.crc32(key) | 1
+        for _ in range(HASHES):
+            at = place % size
+            if not bits[at >> 3] >> (at & 7) & 1:
+                return True
+            place += step
+        return False
 
     def _block(self, number: int) -> Any:
         at = self._offsets[number]
@@ -118,7 +152,7 @@
 
     def lookup(self, key: bytes) -> Location | None:
         number = bisect_right(self._firsts, key) - 1
-        if number < 0:
+        if number < 0 or self._absent(key):
             return None
         for entry in self._block(number):
             if entry[0] == key:
--- a/loftroute/store/state.py
+++ b/loftroute/store/state.py
@@ -258,9 +258,8 @@
         self.use(key[0], 0, place.size - known.size)
         return True
 
-    def needed(self, key: bytes, record: Record, now: int) -> bool:
-        """Whether somebody may still ask for this very record."""
-        current = self.lookup(key)
+    def needed(self, key: bytes, record: Record, now: int, current: Location | None) -> bool:
+        """Whether somebody may still ask for this very record; `current` is where the key's newest lies."""
         if current and current.seq == record.seq:
             oldest = min([snapshot.now for snapshot in self.snapshots], default=self.time(now))
             return not 0 < current.expiry <= oldest
