--- a/loftroute/cli/main.py
+++ b/loftroute/cli/main.py
@@ -5,6 +5,7 @@
 import click
 
 from loftroute import config
+from loftroute.cli.pair import pair
 from loftroute.cli.store import store
 from loftroute.settings.reading import SettingsError, load
 from loftroute.store.records import StoreError
@@ -21,13 +22,14 @@
 )
 def run(path: str) -> None:
     """Run a relay with the product's features, as RELAY_CONFIG and the settings say."""
+    from loftroute.pair.attach import attach as attach_pair
     from loftroute.recall.attach import attach
     from loftroute.relay import lifecycle
 
     product = load(path)
     lifecycle.log_to_stderr(product.message.log.level or "INFO", product.message.log.json)
     relay = lifecycle.Relay(config.load())
-    attach(relay, product)
+    attach_pair(relay, product, *attach(relay, product))
     relay.run()
 
 
@@ -36,11 +38,34 @@
 def check_settings(path: str) -> None:
     """Read a file of settings whole and say what is wrong with it."""
     product = load(path)
-    on = [name for name, there in (("store", product.store_on), ("recall", product.recall_on)) if there]
+    on = [
+        name
+        for name, there in (
+            ("store", product.store_on),
+            ("recall", product.recall_on),
+            ("vrrp", product.vrrp_on),
+            ("pair", product.pair_on),
+            ("witness", bool(product.message.witness.listen)),
+        )
+        if there
+    ]
     click.echo(f"{path}: right; on: {', '.join(on) or 'nothing'}")
 
 
+@root.command()
+@click.option("--settings", "path", required=True, type=click.Path(), help="Settings with a part `witness`.")
+def witness(path: str) -> None:
+    """Run the witness of a pair."""
+    from loftroute.pair.attach import witness as run_witness
+    from loftroute.relay import lifecycle
+
+    product = load(path)
+    lifecycle.log_to_stderr(product.message.log.level or "INFO", product.message.log.json)
+    run_witness(product)
+
+
 root.add_command(store)
+root.add_command(pair)
 
 
 def main() -> int:
--- /dev/null
+++ b/loftroute/cli/pair.py
@@ -0,0 +1,95 @@
+"""`loftroute pair …`: ask a relay of a pair how it stands, and order it."""
+
+import json
+import secrets
+import socket
+
+import click
+import msgpack
+
+from loftroute.pair import wire
+from loftroute.protocol import NeedMore, ProtocolError
+from loftroute.settings.reading import SettingsError, load
+from loftroute.vrrp.keyring import KeyFileError, read
+
+option = click.option(
+    "--settings", "path", required=True, type=click.Path(), help="The relay's own settings."
+)
+
+
+@click.group()
+def pair() -> None:
+    """Two relays that hold one address and one memory."""
+
+
+def _ask(path: str, message: object) -> str:
+    """One question to the relay that the settings are of."""
+    product = load(path)
+    if not product.pair_on:
+        raise SettingsError(f"{path}: pair: missing")
+    host, _, port = product.message.pair.listen.rpartition(":")
+    try:
+        keys = read(product.message.pair.key_file)
+    except KeyFileError as problem:
+        raise SettingsError(f"{path}: pair.key_file: {problem}") from problem
+    nonce = secrets.token_bytes(wire.NONCE)
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(wire.greeting("operator", nonce, keys.sealing))
+        data = bytearray()
+        _, theirs, number = wire.greeted(_frame(sock, data))
+        outward = wire.Proof(keys.known[keys.sealing], nonce, theirs, True)
+        inward = wire.Proof(keys.known[number], nonce, theirs, False)
+        sock.sendall(outward.seal(message))
+        answer = inward.open(_frame(sock, data))
+    if not isinstance(answer, wire.Report):
+        raise click.ClickException("the relay said something else")
+    return answer.text
+
+
+def _frame(sock: socket.socket, data: bytearray) -> bytes:
+    while True:
+        try:
+            raw, at = wire.frame(data, 0, len(data))
+            del data[:at]
+            return raw
+        except NeedMore:
+            more = sock.recv(65536)
+            if not more:
+                raise ProtocolError("the relay closed the connection") from None
+            data += more
+
+
+@pair.command()
+@option
+@click.option("--json", "as_json", is_flag=True, help="For a program to read.")
+def status(path: str, as_json: bool) -> None:
+    """How the relay stands: mode, epoch, virtual routers."""
+    found = msgpack.unpackb(bytes.fromhex(_ask(path, wire.Status())))
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    for name, value in found.items():
+        if name != "routers":
+            click.echo(f"{name:10} {value}")
+    for router in found["routers"]:
+        fails = f", fails: {', '.join(router['failed'])}" if router["failed"] else ""
+        place = f"{router['state']}, priority {router['priority']}, active {router['active'] or '-'}"
+        click.echo(f"vrid {router['vrid']:<5} {place}{fails}")
+
+
+@pair.command()
+@option
+def promote(path: str) -> None:
+    """Order the relay to go on alone, since the other is lost. Refused (status 1) while the other is
+    heard."""
+    answer = _ask(path, wire.Order())
+    click.echo(answer)
+    if not answer.startswith("alone"):
+        raise SystemExit(1)
+
+
+@pair.command()
+@option
+def failback(path: str) -> None:
+    """Have the Active hand its addresses on (priority 0); what it has taken it still answers."""
+    click.echo(_ask(path, wire.StandDown()))
--- /dev/null
+++ b/loftroute/pair/fence.py
@@ -0,0 +1,542 @@
+"""Who of a pair may send what: a pure core. No I/O, no clock; time is an argument and no promise rests on it.
+
+Each side is `PAIRED` (an attempt with an effect needs the peer's word that it has the intent, safe), `ALONE`
+(its own intent is enough) or `FENCED` (it may not send any). An epoch names a spell of one of these; it
+grows, is safe on disk before it is acted on, and in each at most one side is alone, since the witness gives
+it to one. Time-outs only say when to ask.
+
+Why nothing is sent twice: a paired side sends an id only after the peer has stored its claim, and the peer,
+whatever it becomes later, then knows that id. A side becomes alone in epoch E+1 only while the witness's
+record is "paired in E", so with all the other's claims of E that were ever acknowledged, and takes no claim
+of E after that.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Mode(Enum):
+    NEW = "new"  # an empty store: it knows nothing of the past
+    PAIRED = "paired"
+    ALONE = "alone"
+    FENCED = "fenced"
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What a side keeps on disk."""
+
+    epoch: int = 0
+    mode: Mode = Mode.NEW
+    synced: bool = (
+        False  # fenced: it has all that the side that is alone has; alone: the other has all, and each
+    )
+    # claim goes to it too until the witness has written the pair down
+
+
+# ---- what the sides tell each other, in order over one connection
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    standing: Standing
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """I am about to send this id; the record says what may have run."""
+
+    epoch: int
+    number: int
+    id: str
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    number: int
+    taken: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Mirror:
+    """What became of an id, or what the other side lacks."""
+
+    id: str
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SyncEnd:
+    """All records up to the connection's beginning were sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Synced:
+    """All of them are safe here."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rejoin:
+    """The pair is one again in this epoch."""
+
+    epoch: int
+
+
+Message = Hello | Claim | ClaimAnswer | Mirror | SyncEnd | Synced | Rejoin
+
+
+# ---- what a side asks of the witness, and what that says
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """`alone`: may I go on alone after this epoch; else: I am alone in it, and the pair is one again.
+    `order`: an operator says that the other is lost."""
+
+    name: str
+    epoch: int
+    alone: bool
+    order: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The witness's record: who is alone in this epoch, empty for the pair."""
+
+    epoch: int
+    holder: str
+
+
+# ---- events and actions
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp: ...
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Came:
+    message: Message
+    conflict: bool = False  # for a claim: this side has the id open, or knows more of it
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """The witness's answer."""
+
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """This side's own intent is safe; may it be sent?"""
+
+    id: str
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """The request ended before an answer to its claim came."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """A record of the peer is safe; `number` is its claim's, 0 for the end of the records sent at the
+    start."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Persisted:
+    standing: Standing
+
+
+@dataclass(frozen=True, slots=True)
+class Tick: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Promote:
+    """An operator's order to go on alone."""
+
+
+Event = LinkUp | LinkDown | Came | Said | Want | Drop | Stored | Persisted | Tick | Promote
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class AskWitness:
+    ask: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Store a record of the peer, then say `Stored`."""
+
+    id: str
+    record: bytes
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Persist:
+    standing: Standing
+
+
+@dataclass(frozen=True, slots=True)
+class SendRecords:
+    """Send the peer what it lacks, as `Mirror`s, then `SyncEnd`."""
+
+
+@dataclass(frozen=True, slots=True)
+class SyncDown:
+    """All records sent so far are to be safe, then say `Stored(0)`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """It must not be sent; nothing of it was."""
+
+    id: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """To an operator."""
+
+    why: str
+
+
+Action = Tell | AskWitness | Keep | Persist | SendRecords | SyncDown | Granted | Denied | Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times in nanoseconds: when to ask, never who may."""
+
+    patience: int  # without the link before the witness is asked
+    again: int  # between two questions
+    claims: int = 10_000  # waiting for the peer at once
+
+
+@dataclass(slots=True)
+class Side:
+    """One relay of the pair."""
+
+    name: str
+    bounds: Bounds
+    witnessed: bool  # there is a witness; without one only an operator lets a side go on alone
+    standing: Standing = field(default_factory=Standing)
+    linked: bool = False
+    peer: Standing | None = None
+    down_since: int = 0
+    asked_at: int = -(1 << 62)
+    claims: dict[int, tuple[str, bytes]] = field(default_factory=dict)
+    number: int = 0
+    persisting: Standing | None = None
+    promised: bool = False  # an operator's order is under way
+    complete: bool = False  # rejoining: the peer has all, also what was granted alone until then
+    undoable: bool = False  # rejoining: the witness was not yet told
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """What an event leads to. Messages of a connection that ended are not handed in."""
+        if isinstance(event, Came):
+            return self._came(now, event)
+        if isinstance(event, Want):
+            return self._want(event)
+        if isinstance(event, Drop):
+            self.claims = {n: claim for n, claim in self.claims.items() if claim[0] != event.id}
+            return []
+        if isinstance(event, Stored):
+            return self._stored(event)
+        if isinstance(event, Persisted):
+            return self._persisted(now, event.standing)
+        if isinstance(event, Said):
+            return self._said(now, event.verdict)
+        if isinstance(event, LinkUp):
+            self.linked, self.peer = True, None
+            return [Tell(Hello(self.standing))]
+        if isinstance(event, LinkDown):
+            return self._link_down(now)
+        if isinstance(event, Promote):
+            return self._promote(now)
+        return self._tick(now)
+
+    @property
+    def rejoining(self) -> bool:
+        return self.standing.mode is Mode.ALONE and self.standing.synced
+
+    @property
+    def may_send(self) -> bool:
+        """Whether new requests with an effect are worth taking: what to tell clients, not what lets them
+        go."""
+        mode = self.standing.mode
+        return (mode is Mode.ALONE and not self.rejoining) or self._in_step
+
+    @property
+    def _in_step(self) -> bool:
+        if not self.linked or self.peer is None or self.peer.epoch != self.standing.epoch:
+            return False
+        return self.rejoining or (self.standing.mode is Mode.PAIRED and self.peer.mode is Mode.PAIRED)
+
+    @property
+    def _peer_lacks(self) -> bool:
+        peer = self.peer
+        return peer is not None and peer.mode in (Mode.FENCED, Mode.NEW) and not peer.synced
+
+    # ---- claims
+
+    def _want(self, event: Want) -> list[Action]:
+        mode = self.standing.mode
+        if mode is Mode.ALONE and not self.rejoining:
+            told: list[Action] = [Tell(Mirror(event.id, event.record))] if self.linked and self.peer else []
+            return [Granted(event.id), *told]
+        if mode is Mode.FENCED or mode is Mode.NEW:
+            return [Denied(event.id, "the other relay may be alone")]
+        if len(self.claims) >= self.bounds.claims:
+            return [Denied(event.id, "too many claims wait")]
+        self.number += 1
+        self.claims[self.number] = (event.id, event.record)
+        return [self._tell_claim(self.number)] if self.linked and self.peer is not None else []
+
+    def _tell_claim(self, number: int) -> Action:
+        name, record = self.claims[number]
+        return Tell(Claim(self.standing.epoch, number, name, record))
+
+    def _claim(self, claim: Claim, conflict: bool) -> list[Action]:
+        """Taken only in the epoch that it was made in, and where this side knows nothing that speaks against
+        it."""
+        mode = self.standing.mode
+        joint = mode is Mode.PAIRED or (mode is Mode.FENCED and self.standing.synced)
+        if conflict or not joint or claim.epoch != self.standing.epoch or self.persisting is not None:
+            return [Tell(ClaimAnswer(claim.number, False))]
+        return [Keep(claim.id, claim.record, claim.number)]
+
+    def _answered(self, answer: ClaimAnswer) -> list[Action]:
+        claim = self.claims.pop(answer.number, None)
+        if claim is None:
+            return []
+        if answer.taken:
+            return [Granted(claim[0])]
+        return [Denied(claim[0], "the other relay did not take the claim")]
+
+    def _stored(self, event: Stored) -> list[Action]:
+        if event.number:
+            return [Tell(ClaimAnswer(event.number, True))] if self.linked else []
+        return self._all_stored()
+
+    # ---- coming together
+
+    def _came(self, now: int, event: Came) -> list[Action]:
+        message = event.message
+        if isinstance(message, Hello):
+            return self._hello(message.standing)
+        if isinstance(message, Claim):
+            return self._claim(message, event.conflict)
+        if isinstance(message, ClaimAnswer):
+            return self._answered(message)
+        if isinstance(message, Mirror):
+            return [Keep(message.id, message.record, 0)]
+        if isinstance(message, SyncEnd):
+            return [SyncDown()]
+        if isinstance(message, Synced):
+            return self._peer_synced(now)
+        return self._rejoined(message.epoch)
+
+    def _hello(self, peer: Standing) -> list[Action]:
+        """Both tell how they stand; at a connection's beginning each sends the other what that may lack."""
+        first, self.peer, mine = self.peer is None, peer, self.standing
+        actions: list[Action] = [SendRecords()] if first or self._peer_lacks else []
+        if peer.mode is Mode.ALONE and peer.epoch > mine.epoch:  # it went on without us
+            actions += self._persist(Standing(peer.epoch, Mode.FENCED))
+        elif peer.mode is mine.mode is Mode.ALONE and peer.epoch == mine.epoch:
+            actions += self._persist(
+                Standing(mine.epoch, Mode.FENCED)
+            )  # only after wrong orders: neither sends
+        if self._in_step:
+            actions += [self._tell_claim(number) for number in self.claims]
+        return actions
+
+    def _all_stored(self) -> list[Action]:
+        """What the peer had at the connection's beginning is safe here.
+
+        A peer that is paired sends nothing without this side's word: with all that it has, this side may
+        join it.
+        """
+        if not self.linked or self.peer is None:
+            return []
+        standing, peer = self.persisting or self.standing, self.peer
+        if standing.mode is Mode.FENCED and peer.mode is Mode.ALONE and not standing.synced:
+            return self._persist(Standing(standing.epoch, Mode.FENCED, True))
+        if (
+            standing.mode in (Mode.FENCED, Mode.NEW)
+            and peer.mode is Mode.PAIRED
+            and peer.epoch >= standing.epoch
+        ):
+            return self._persist(Standing(peer.epoch, Mode.PAIRED))
+        return [Tell(Synced())] if self.persisting is None else []
+
+    def _peer_synced(self, now: int) -> list[Action]:
+        mine, peer = self.standing, self.peer
+        if peer is None:
+            return []
+        if self.rejoining:
+            self.complete = True
+            return self._ask(now, alone=False)
+        if mine.mode is Mode.ALONE:  # from here on each claim needs the peer's word, also after a crash
+            return self._persist(Standing(mine.epoch, Mode.ALONE, True))
+        if mine.mode is Mode.NEW and peer.mode is Mode.NEW:
+            return self._persist(Standing(1, Mode.PAIRED))
+        return []
+
+    def _rejoined(self, epoch: int) -> list[Action]:
+        mine = self.standing
+        if mine.mode is Mode.FENCED and mine.synced and epoch > mine.epoch:
+            return self._persist(Standing(epoch, Mode.PAIRED))
+        return []
+
+    def _persist(self, standing: Standing) -> list[Action]:
+        self.persisting = standing
+        return [Persist(standing)]
+
+    def _persisted(self, now: int, standing: Standing) -> list[Action]:
+        """Safe on disk: acted on only now."""
+        if standing != self.persisting:
+            return []
+        before, self.standing, self.persisting, self.promised = self.standing, standing, None, False
+        actions: list[Action] = []
+        if (
+            self.rejoining
+        ):  # what was granted alone meanwhile went before this: once that is safe too, it has all
+            self.complete, self.undoable = False, True
+            return [Tell(SyncEnd())] if self.linked else self._link_down(now)
+        self.complete = False
+        if standing.mode is Mode.ALONE:
+            actions += self._all(granted=True)
+        elif standing.mode is Mode.FENCED:
+            actions += self._all(granted=False)
+            if standing.synced and self.linked:
+                actions.append(Tell(Synced()))
+        if before.mode is Mode.ALONE and standing.mode is Mode.PAIRED and self.linked:
+            actions.append(Tell(Rejoin(standing.epoch)))
+        if self.linked:
+            actions.append(Tell(Hello(standing)))
+            if standing.mode is Mode.ALONE or (standing.mode is Mode.PAIRED and self._peer_lacks):
+                actions.append(SendRecords())
+        return actions
+
+    def _all(self, granted: bool) -> list[Action]:
+        claims, self.claims = self.claims, {}
+        return [
+            Granted(name) if granted else Denied(name, "this relay was fenced") for name, _ in claims.values()
+        ]
+
+    # ---- going on alone
+
+    def _link_down(self, now: int) -> list[Action]:
+        self.linked, self.peer, self.down_since = False, None, now
+        if self.rejoining and self.undoable and self.persisting is None:  # nobody was told: alone as before
+            return self._persist(Standing(self.standing.epoch, Mode.ALONE))
+        return []
+
+    def _tick(self, now: int) -> list[Action]:
+        mode = self.standing.mode
+        if not self.witnessed or now - self.asked_at < self.bounds.again or self.persisting is not None:
+            return []
+        if self.rejoining and self.complete:  # whether the witness has written it down is not known
+            return self._ask(now, alone=False)
+        if (
+            self.linked or self.rejoining
+        ) and not self._in_step:  # the witness may have said something that was not heard
+            self.asked_at = now
+            return [AskWitness(Ask(self.name, 0, False))]
+        if self.linked or now - self.down_since < self.bounds.patience:
+            return []
+        if mode is Mode.PAIRED or (mode is Mode.FENCED and self.standing.synced):
+            return self._ask(now, alone=True)
+        return []
+
+    def _ask(self, now: int, alone: bool, order: bool = False) -> list[Action]:
+        self.asked_at = now
+        self.undoable = False
+        if not self.witnessed:
+            if alone:  # an order, with nobody to ask
+                return self._persist(Standing(self.standing.epoch + 1, Mode.ALONE))
+            return self._persist(Standing(self.standing.epoch + 1, Mode.PAIRED))
+        return [AskWitness(Ask(self.name, self.standing.epoch, alone, order))]
+
+    def _said(self, now: int, verdict: Verdict) -> list[Action]:
+        """The witness's record is what counts; an old answer, of an epoch that is past, is not followed."""
+        mine = self.standing
+        if self.persisting is not None or verdict.epoch < mine.epoch:
+            return []
+        if verdict.holder == self.name:
+            if mine.mode is not Mode.ALONE and verdict.epoch == mine.epoch + 1:
+                return self._persist(Standing(verdict.epoch, Mode.ALONE))
+            return []
+        if verdict.holder:
+            if verdict.epoch > mine.epoch or mine.mode is Mode.ALONE:
+                return self._persist(Standing(verdict.epoch, Mode.FENCED))
+            return []
+        if verdict.epoch == mine.epoch + 1 and (
+            mine.mode is Mode.ALONE or (mine.mode is Mode.FENCED and mine.synced)
+        ):
+            return self._persist(Standing(verdict.epoch, Mode.PAIRED))
+        return []
+
+    def _promote(self, now: int) -> list[Action]:
+        """An operator says that the other is lost; refused while it is heard."""
+        if self.linked:
+            return [Refusal("the other relay is heard")]
+        if self.standing.mode is Mode.ALONE:
+            return [Refusal("this relay is alone already")]
+        if self.standing.mode is Mode.NEW:
+            return [Refusal("this relay's store is new: it knows nothing of what was sent")]
+        self.promised = True
+        return self._ask(now, alone=True, order=True)
+
+
+@dataclass(slots=True)
+class Witness:
+    """The third, small process: one record, safe on disk before it is told."""
+
+    record: Verdict = Verdict(0, "")
+
+    def asked(self, ask: Ask) -> Verdict:
+        """What the record should be after a question; the caller makes it safe, sets `record`, then
+        answers."""
+        now = self.record
+        if now.epoch == 0 and ask.epoch >= 1:  # its first question: the pair came together without it
+            now = Verdict(ask.epoch, "" if ask.alone else ask.name)
+        if ask.alone:
+            if not now.holder and ask.epoch == now.epoch:
+                return Verdict(now.epoch + 1, ask.name)
+            if (
+                not now.holder and ask.epoch + 1 == now.epoch
+            ):  # it missed that the pair is one again: it learns
+                return now
+            if ask.order and now.holder != ask.name and ask.epoch == now.epoch:
+                return Verdict(now.epoch + 1, ask.name)
+            return now
+        if now.holder == ask.name and ask.epoch == now.epoch:
+            return Verdict(now.epoch + 1, "")
+        return now
--- /dev/null
+++ b/loftroute/pair/link.py
@@ -0,0 +1,480 @@
+"""The pair on the relay's scheduler: the connection to the other relay, the witness, the records.
+
+Who may send what is decided in `pair/fence.py`; this carries its messages and does what it says.
+"""
+
+import os
+from collections import Counter, deque
+from collections.abc import Callable, Iterator, Mapping
+from functools import partial
+from typing import Protocol
+
+import msgpack
+from loguru import logger
+
+from loftroute.pair import fence, wire
+from loftroute.pair.fence import (
+    Action,
+    Ask,
+    AskWitness,
+    Bounds,
+    Came,
+    Claim,
+    Denied,
+    Drop,
+    Event,
+    Granted,
+    Keep,
+    LinkDown,
+    LinkUp,
+    Mirror,
+    Mode,
+    Persist,
+    Persisted,
+    Promote,
+    Refusal,
+    Said,
+    SendRecords,
+    Side,
+    Standing,
+    Stored,
+    SyncDown,
+    SyncEnd,
+    Tell,
+    Tick,
+    Verdict,
+    Want,
+)
+from loftroute.protocol import ProtocolError
+from loftroute.protocol.catalog import Address
+from loftroute.runtime.scheduler import MS, Scheduler, Task
+from loftroute.runtime.stream import Closed, Expired, Listener, Stream
+from loftroute.store.actor import Store
+from loftroute.store.plan import Refused
+from loftroute.store.records import PUT, Op, StoreError
+from loftroute.vrrp.envelope import Keys
+from loftroute.vrrp.keyring import Keyring
+
+SPACE = "pair"
+UNSENT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
+Done = Callable[[StoreError | None], None]
+
+
+class Records(Protocol):
+    """What is remembered of ids, as the keeper has it."""
+
+    def conflicts(self, name: str, record: bytes) -> bool: ...
+    def mirror(self, name: str, record: bytes, claimed: bool, done: Done) -> None: ...
+    def all(self) -> Iterator[tuple[str, bytes]]: ...
+
+
+class Connection:
+    """An authenticated connection: greets, then carries messages both ways."""
+
+    def __init__(self, scheduler: Scheduler, stream: Stream, name: str, keys: Keys) -> None:
+        self._scheduler, self._stream = scheduler, stream
+        self._name, self._keys, self._nonce = name, keys, os.urandom(wire.NONCE)
+        self.peer = ""
+        self._out: wire.Proof | None = None
+        self._in: wire.Proof | None = None
+
+    def greet(self, until: int) -> None:
+        """Both say who they are; raises `Closed`, `Expired` or `ProtocolError`."""
+        self._stream.send_all([wire.greeting(self._name, self._nonce, self._keys.sealing)], until)
+        self.peer, theirs, number = wire.greeted(self._stream.receive(wire.frame, until))
+        if self.peer == self._name or theirs == self._nonce:
+            raise ProtocolError("greeted by itself")
+        if number not in self._keys.known:
+            raise ProtocolError(f"unknown key {number}")
+        self._out = wire.Proof(self._keys.known[self._keys.sealing], self._nonce, theirs, True)
+        self._in = wire.Proof(self._keys.known[number], self._nonce, theirs, False)
+
+    def send(self, message: object) -> None:
+        assert self._out is not None
+        if not self._stream.closed:
+            self._stream.write([self._out.seal(message)])
+
+    def receive(self, until: int) -> object:
+        assert self._in is not None
+        while True:
+            if self._stream.unsent:
+                self._stream.flush()
+                if self._stream.unsent > UNSENT:
+                    raise Closed("the other side does not read")
+            try:
+                return self._in.open(
+                    self._stream.receive(
+                        wire.frame,
+                        min(until, self._scheduler.clock.now() + 20 * MS) if self._stream.unsent else until,
+                    )
+                )
+            except Expired:
+                if self._scheduler.clock.now() >= until:
+                    raise
+
+    def close(self) -> None:
+        self._stream.close()
+
+
+class Pair:
+    """One side of a pair."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        store: Store,
+        name: str,
+        peer_name: str,
+        listen: Address,
+        peer: Address,
+        witness: Address | None,
+        ring: Keyring,
+        bounds: Bounds,
+    ) -> None:
+        self._scheduler, self._store, self._name, self._peer_name = scheduler, store, name, peer_name
+        self._peer_address, self._witness_address, self._ring, self._bounds = peer, witness, ring, bounds
+        self._space = store.space(SPACE)
+        self.side = Side(
+            name, bounds, witness is not None, self._standing(), down_since=scheduler.clock.now()
+        )
+        self.records: Records | None = None
+        self.status: Callable[[], list[dict[str, object]]] = lambda: []  # of the virtual routers
+        self.stand_down: Callable[[], None] = lambda: None
+        self._waiting: dict[str, Callable[[str], None]] = {}  # claims: told "" or why not
+        self._connection: Connection | None = None
+        self._linking = 0  # the connection's number
+        self._syncing: Task | None = None
+        self._held: deque[Action] = deque()
+        self._asks: deque[Ask] = deque(maxlen=4)
+        self._orders: list[Connection] = []
+        self.count: Counter[str] = Counter()
+        self._listener = Listener(scheduler, listen, 16)
+        self._writes = 0  # mirrored records under way
+        self._syncs: list[int] = []
+        scheduler.spawn("pair listener", self._listen)
+        if name < peer_name:
+            scheduler.spawn("pair dial", self._dial)
+        self._asker = scheduler.spawn("pair witness", self._ask_witness) if witness else None
+        self._tick()
+
+    def _standing(self) -> Standing:
+        raw = self._store.get(self._space, b"standing")
+        if raw is None:
+            return Standing()
+        epoch, mode, synced = msgpack.unpackb(raw)
+        return Standing(epoch, Mode(mode), synced)
+
+    # ---- for the keeper
+
+    @property
+    def may_send(self) -> bool:
+        return self.side.may_send
+
+    def want(self, name: str, record: bytes, told: Callable[[str], None]) -> None:
+        """This side's intent is safe: `told` is called once, with "" where it may be sent."""
+        self._waiting[name] = told
+        self._handle(Want(name, record))
+
+    def drop(self, name: str) -> None:
+        """The request has ended; its claim need not be answered."""
+        if self._waiting.pop(name, None):
+            self._handle(Drop(name))
+
+    def tell(self, name: str, record: bytes) -> None:
+        """What became of an id, for the other side to know."""
+        if self._connection is not None and self.side.linked:
+            self._connection.send(Mirror(name, record))
+
+    def figures(self) -> Mapping[str, object]:
+        standing = self.side.standing
+        return {
+            "pair": f"{standing.mode.value} {standing.epoch}",
+            "pair linked": self.side.linked,
+            "pair claims": len(self.side.claims),
+            **{f"pair {n}": c for n, c in self.count.items()},
+        }
+
+    def close(self) -> None:
+        self._listener.close()
+        if self._connection:
+            self._connection.close()
+
+    # ---- events and actions
+
+    def _tick(self) -> None:
+        self._ring.refresh()
+        self._handle(Tick())
+        self._scheduler.at(self._scheduler.clock.now() + self._bounds.again // 2, self._tick)
+
+    def _handle(self, event: Event) -> None:
+        for action in self.side.handle(self._scheduler.clock.now(), event):
+            self._do(action)
+
+    def _do(self, action: Action) -> None:
+        if isinstance(action, Tell):
+            if self._syncing is not None and not isinstance(
+                action.message, Claim | fence.ClaimAnswer | Mirror
+            ):
+                self._held.append(action)  # behind the records that are on their way
+            elif self._connection is not None:
+                self._connection.send(action.message)
+        elif isinstance(action, Granted):
+            self._answer(action.id, "")
+        elif isinstance(action, Denied):
+            self.count["denied"] += 1
+            self._answer(action.id, action.why)
+        elif isinstance(action, Keep):
+            self._keep(action)
+        elif isinstance(action, Persist):
+            self._persist(action.standing)
+        elif isinstance(action, SendRecords):
+            self._send_records()
+        elif isinstance(action, SyncDown):
+            self._sync_down()
+        elif isinstance(action, AskWitness):
+            self._asks.append(action.ask)
+            if self._asker:
+                self._scheduler.wake(self._asker)
+        elif isinstance(action, Refusal):
+            self._report(action.why)
+
+    def _answer(self, name: str, why: str) -> None:
+        told = self._waiting.pop(name, None)
+        if told:
+            told(why)
+
+    def _keep(self, action: Keep) -> None:
+        linking = self._linking
+        self._writes += 1
+
+        def done(problem: StoreError | None) -> None:
+            self._writes -= 1
+            if problem is None and action.number and linking == self._linking:
+                self._handle(Stored(action.number))
+            if problem is not None and linking == self._linking and self._connection:
+                logger.error("pair: a record of the other relay can't be stored: {}", problem)
+                self._connection.close()  # it is not to think that it is safe here
+            if not self._writes:
+                self._all_written()
+
+        assert self.records is not None
+        self.records.mirror(action.id, action.record, bool(action.number), done)
+
+    def _sync_down(self) -> None:
+        self._syncs.append(self._linking)
+        if not self._writes:
+            self._all_written()
+
+    def _all_written(self) -> None:
+        syncs, self._syncs = self._syncs, []
+        for linking in syncs:
+            if linking == self._linking:
+                self._handle(Stored(0))
+
+    def _persist(self, standing: Standing) -> None:
+        raw = msgpack.packb((standing.epoch, standing.mode.value, standing.synced))
+
+        def done(problem: StoreError | None) -> None:
+            if problem is not None:
+                logger.error("pair: how this side stands can't be stored: {}", problem)
+                return
+            logger.info(
+                "pair: {} in epoch {}{}",
+                standing.mode.value,
+                standing.epoch,
+                ", in step" if standing.synced else "",
+            )
+            self.count[f"became {standing.mode.value}"] += 1
+            self._handle(Persisted(standing))
+            self._report(f"{standing.mode.value} in epoch {standing.epoch}")
+
+        try:
+            self._store.submit([Op(PUT, self._space, b"standing", bytes(raw))], done)
+        except Refused as problem:
+            done(problem)
+
+    # ---- the connection to the other relay
+
+    def _listen(self) -> None:
+        while True:
+            stream = self._listener.accept(4096, wire.LIMIT + 64)
+            if stream is None:
+                self._listener.wait()
+                continue
+            self._scheduler.spawn("pair connection", partial(self._serve, stream, ""))
+
+    def _dial(self) -> None:
+        clock = self._scheduler.clock
+        while True:
+            if self._connection is None:
+                try:
+                    stream = Stream.dial(
+                        self._scheduler,
+                        self._peer_address,
+                        clock.now() + self._bounds.patience,
+                        4096,
+                        wire.LIMIT + 64,
+                    )
+                except (Closed, Expired):
+                    pass
+                else:
+                    self._serve(stream, self._peer_name)
+            self._scheduler.sleep(min(self._bounds.again, 100 * MS))
+
+    def _serve(self, stream: Stream, wanted: str) -> None:
+        connection = Connection(self._scheduler, stream, self._name, self._ring.keys)
+        clock, patience = self._scheduler.clock, self._bounds.patience
+        mine = False
+        try:
+            connection.greet(clock.now() + patience)
+            if wanted and connection.peer != wanted:
+                raise ProtocolError(f"{connection.peer} answers, {wanted} was called")
+            if connection.peer != self._peer_name:
+                return self._operator(connection)
+            connection.send(wire.Alive())
+            first = connection.receive(clock.now() + patience)  # proves that it has the key
+            if not isinstance(first, wire.Alive):
+                raise ProtocolError("no sign of life first")
+            if self._connection is not None:
+                self._lost()
+            self._connection, mine = connection, True
+            self._linking += 1
+            logger.info("pair: linked to {}", connection.peer)
+            self._handle(LinkUp())
+            self._alive(connection)
+            while self._connection is connection:
+                self._hear(connection.receive(clock.now() + patience))
+        except (Closed, Expired, ProtocolError) as problem:
+            self.count["connections ended"] += 1
+            if mine or isinstance(problem, ProtocolError):
+                logger.warning("pair: connection ended: {}", str(problem) or type(problem).__name__)
+        finally:
+            connection.close()
+            if mine and self._connection is connection:
+                self._lost()
+
+    def _lost(self) -> None:
+        self._connection = None
+        self._linking += 1
+        self._held.clear()
+        if self._syncing is not None:
+            self._scheduler.cancel(self._syncing)
+            self._syncing = None
+        self._handle(LinkDown())
+
+    def _alive(self, connection: Connection) -> None:
+        if self._connection is connection:
+            connection.send(wire.Alive())
+            self._scheduler.at(
+                self._scheduler.clock.now() + self._bounds.patience // 4, lambda: self._alive(connection)
+            )
+
+    def _hear(self, message: object) -> None:
+        if isinstance(message, wire.Alive):
+            return
+        if not isinstance(message, fence.Message):
+            raise ProtocolError("not for a relay of a pair")
+        conflict = False
+        if isinstance(message, Claim):
+            assert self.records is not None
+            conflict = self.records.conflicts(message.id, message.record)
+            self.count["conflicts"] += conflict
+        self._handle(Came(message, conflict))
+
+    def _send_records(self) -> None:
+        """All that is known here, then the end of it; in steps, and only as fast as they are taken."""
+        if self._syncing is not None:
+            self._scheduler.cancel(self._syncing)
+        self._syncing = self._scheduler.spawn("pair records", partial(self._stream_records, self._linking))
+
+    def _stream_records(self, linking: int) -> None:
+        assert self.records is not None
+        sent = 0
+        for name, record in self.records.all():
+            connection = self._connection
+            if connection is None or linking != self._linking:
+                return
+            connection.send(Mirror(name, record))
+            sent += 1
+            if sent % 64 == 0:
+                self._scheduler.sleep(MS)
+                while connection._stream.unsent > UNSENT // 4 and linking == self._linking:
+                    self._scheduler.sleep(5 * MS)
+        self._syncing = None
+        self.count["records sent"] += sent
+        if self._connection is not None and linking == self._linking:
+            self._connection.send(SyncEnd())
+            held, self._held = self._held, deque()
+            for action in held:
+                self._do(action)
+
+    # ---- the witness
+
+    def _ask_witness(self) -> None:
+        clock = self._scheduler.clock
+        while True:
+            if not self._asks:
+                self._scheduler.park()
+                continue
+            ask = self._asks.popleft()
+            assert self._witness_address is not None
+            connection = None
+            try:
+                stream = Stream.dial(
+                    self._scheduler, self._witness_address, clock.now() + self._bounds.patience
+                )
+                connection = Connection(self._scheduler, stream, self._name, self._ring.keys)
+                connection.greet(clock.now() + self._bounds.patience)
+                connection.send(ask)
+                verdict = connection.receive(clock.now() + self._bounds.patience)
+                if isinstance(verdict, Verdict):
+                    self.count["witness asked"] += 1
+                    self._handle(Said(verdict))
+                    if ask.order and verdict.holder != self._name:
+                        self._report(
+                            f"the witness gave epoch {verdict.epoch} to {verdict.holder or 'the pair'}"
+                        )
+            except (Closed, Expired, ProtocolError) as problem:
+                self.count["witness not reached"] += 1
+                if ask.order:
+                    self._report(f"the witness is not reached: {problem}")
+            finally:
+                if connection:
+                    connection.close()
+
+    # ---- operators
+
+    def _operator(self, connection: Connection) -> None:
+        """One question over a connection of its own, from whoever has the key."""
+        message = connection.receive(self._scheduler.clock.now() + self._bounds.patience)
+        if isinstance(message, wire.Status):
+            standing = self.side.standing
+            text = msgpack.packb(
+                {
+                    "name": self._name,
+                    "mode": standing.mode.value,
+                    "epoch": standing.epoch,
+                    "linked": self.side.linked,
+                    "may_send": self.may_send,
+                    "routers": self.status(),
+                }
+            )
+            connection.send(wire.Report(text.hex()))
+        elif isinstance(message, wire.StandDown):
+            self.stand_down()
+            connection.send(wire.Report("handed on"))
+        elif isinstance(message, wire.Order):
+            self._orders.append(connection)
+            self._handle(Promote())
+            until = self._scheduler.clock.now() + 3 * self._bounds.patience
+            while connection in self._orders and self._scheduler.clock.now() < until:
+                self._scheduler.sleep(5 * MS)
+            if connection in self._orders:
+                self._orders.remove(connection)
+                connection.send(wire.Report("no answer in time; see the log"))
+        self._scheduler.sleep(20 * MS)
+
+    def _report(self, text: str) -> None:
+        orders, self._orders = self._orders, []
+        for connection in orders:
+            connection.send(wire.Report(text))
--- /dev/null
+++ b/loftroute/pair/wire.py
@@ -0,0 +1,168 @@
+"""What the pair's connections carry, bytes to values and back. No I/O.
+
+A frame is a length (u32, big-endian), a MessagePack array and a proof of 16 bytes: HMAC-SHA256 under the
+shared key of both sides' nonces, the direction, the frame's place on the connection and its bytes. So
+nothing is replayed, put in another order or told by a stranger. The first frame of each side holds its nonce
+and name, and has no proof yet.
+"""
+
+import hmac
+import struct
+from dataclasses import astuple
+
+import msgpack
+
+from loftroute.pair.fence import (
+    Ask,
+    Claim,
+    ClaimAnswer,
+    Hello,
+    Mirror,
+    Mode,
+    Rejoin,
+    Standing,
+    Synced,
+    SyncEnd,
+    Verdict,
+)
+from loftroute.protocol import NeedMore, ProtocolError
+
+LENGTH = struct.Struct("!I")
+PROOF, NONCE = 16, 16
+LIMIT = 1 << 20  # bytes of a frame
+
+
+class Alive:
+    """A sign of life."""
+
+
+class Status:
+    """An operator asks how it stands; answered by `Report`."""
+
+
+class Order:
+    """An operator orders this side to go on alone; answered by `Report`."""
+
+
+class StandDown:
+    """An operator has this side hand its addresses on; answered by `Report`."""
+
+
+class Report:
+    """What an operator is told."""
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+
+
+KINDS = {
+    0: Alive,
+    1: Hello,
+    2: Claim,
+    3: ClaimAnswer,
+    4: Mirror,
+    5: SyncEnd,
+    6: Synced,
+    7: Rejoin,
+    8: Ask,
+    9: Verdict,
+    10: Status,
+    11: Order,
+    12: StandDown,
+    13: Report,
+}
+NUMBERS = {kind: number for number, kind in KINDS.items()}
+SHAPES: dict[type, tuple[type, ...]] = {
+    Claim: (int, int, str, bytes),
+    ClaimAnswer: (int, bool),
+    Mirror: (str, bytes),
+    Rejoin: (int,),
+    Ask: (str, int, bool, bool),
+    Verdict: (int, str),
+    Report: (str,),
+}
+
+
+def pack(message: object) -> bytes:
+    """A message's MessagePack array."""
+    kind = type(message)
+    if isinstance(message, Hello):
+        standing = message.standing
+        fields: tuple[object, ...] = (standing.epoch, standing.mode.value, standing.synced)
+    elif isinstance(message, Report):
+        fields = (message.text,)
+    else:
+        fields = astuple(message) if kind in SHAPES else ()  # type: ignore[call-overload]
+    return bytes(msgpack.packb((NUMBERS[kind], *fields)))
+
+
+def unpack(raw: bytes) -> object:
+    """A message from its bytes, checked whole; `ProtocolError` where it is none."""
+    try:
+        number, *fields = msgpack.unpackb(raw, use_list=False)
+        kind = KINDS[number]
+        if kind is Hello:
+            epoch, mode, synced = fields
+            if not isinstance(epoch, int) or epoch < 0 or not isinstance(synced, bool):
+                raise ValueError("fields")
+            return Hello(Standing(epoch, Mode(mode), synced))
+        shape = SHAPES.get(kind, ())
+        if len(shape) != len(fields) or any(type(f) is not s for f, s in zip(fields, shape, strict=True)):
+            raise ValueError("fields")
+        return kind(*fields)
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as problem:
+        raise ProtocolError("not a message of a pair") from problem
+
+
+def frame(data: bytearray, start: int, end: int) -> tuple[bytes, int]:
+    """A parser for `Stream.receive`: the bytes of the next frame without its length."""
+    if end - start < LENGTH.size:
+        raise NeedMore(LENGTH.size)
+    size = LENGTH.unpack_from(data, start)[0]
+    if size > LIMIT:
+        raise ProtocolError("frame too long")
+    at = start + LENGTH.size
+    if end < at + size:
+        raise NeedMore(LENGTH.size + size)
+    return bytes(data[at : at + size]), at + size
+
+
+def greeting(name: str, nonce: bytes, key: int) -> bytes:
+    """Who speaks, and the number of the key that it proves itself with."""
+    raw = msgpack.packb((name, nonce, key))
+    return LENGTH.pack(len(raw)) + bytes(raw)
+
+
+def greeted(raw: bytes) -> tuple[str, bytes, int]:
+    """The other side's name, nonce and key number."""
+    try:
+        name, nonce, key = msgpack.unpackb(raw)
+    except (ValueError, TypeError, msgpack.UnpackException) as problem:
+        raise ProtocolError("not a greeting") from problem
+    right = isinstance(name, str) and isinstance(nonce, bytes) and isinstance(key, int)
+    if not right or len(nonce) != NONCE or len(name) > 64:
+        raise ProtocolError("not a greeting")
+    return name, nonce, key
+
+
+class Proof:
+    """One direction of one connection."""
+
+    def __init__(self, key: bytes, mine: bytes, theirs: bytes, outward: bool) -> None:
+        both = mine + theirs if outward else theirs + mine
+        self._key = hmac.digest(key, both + b"pair 1", "sha256")
+        self._number = 0
+
+    def seal(self, message: object) -> bytes:
+        raw = pack(message)
+        return LENGTH.pack(len(raw) + PROOF) + raw + self._of(raw)
+
+    def open(self, raw: bytes) -> object:
+        """The message of a frame; `ProtocolError` where the proof is wrong."""
+        if len(raw) < PROOF or not hmac.compare_digest(self._of(raw[:-PROOF]), raw[-PROOF:]):
+            raise ProtocolError("wrong proof")
+        return unpack(raw[:-PROOF])
+
+    def _of(self, raw: bytes) -> bytes:
+        self._number += 1
+        return hmac.digest(self._key, self._number.to_bytes(8, "big") + raw, "sha256")[:PROOF]
--- a/loftroute/recall/attach.py
+++ b/loftroute/recall/attach.py
@@ -54,10 +54,10 @@
     )
 
 
-def attach(relay: Relay, product: Product) -> None:
+def attach(relay: Relay, product: Product) -> tuple[Store | None, Keeper | None]:
     """Open the store and have the relay remember; raises `SettingsError`, `StoreError` or `OSError`."""
     if not product.store_on:
-        return
+        return None, None
     store = Store.open(
         relay.scheduler,
         product.message.store.directory,
@@ -67,7 +67,7 @@
     )
     relay.parts.append(store)
     if not product.recall_on:
-        return
+        return store, None
     keep, classes = product.span("recall.keep_ms"), relay.config.settings.classes
     longest = max((c.deadline + c.window for c in classes), default=0)
     if keep < longest:
@@ -94,3 +94,4 @@
     )
     relay.module.recall = keeper
     relay.parts.append(keeper)
+    return store, keeper
--- a/loftroute/recall/decisions.py
+++ b/loftroute/recall/decisions.py
@@ -162,6 +162,23 @@
     return (target.zone, target.cell) == (known.place.zone, known.place.cell)
 
 
+def newer(told: Memory, known: Memory | None) -> bool:
+    """Whether a record of the other relay says more than what is known here.
+
+    Attempts of an id are counted over both relays, since each stores the other's claims. Of the same attempt
+    what came of it says more than that it was about to be made; that it ran is final.
+    """
+    if known is None:
+        return True
+    if known.fate is Fate.RAN:
+        return False
+    return (told.fate is Fate.RAN, told.attempts, told.fate is Fate.NEVER) > (
+        False,
+        known.attempts,
+        known.fate is Fate.NEVER,
+    )
+
+
 def intent(known: Memory | None, cls: str, key: str, target: Place, now: Stamp) -> Memory:
     """The record that must be safe before an attempt's first byte: from now on it may have run."""
     if known is None:
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -28,6 +28,16 @@
 SPACE = "recall"
 
 
+class Peered(Protocol):
+    """The other relay of a pair (`loftroute/pair/`); only where there is one."""
+
+    @property
+    def may_send(self) -> bool: ...
+    def want(self, name: str, record: bytes, told: Callable[[str], None]) -> None: ...
+    def drop(self, name: str) -> None: ...
+    def tell(self, name: str, record: bytes) -> None: ...
+
+
 class Listed(Protocol):
     """Where a unit stands, as the list has it."""
 
@@ -104,6 +114,7 @@
         self._space = store.space(SPACE)
         self._live: dict[str, Live] = {}
         self._unsafe: dict[str, tuple[Memory, int]] = {}  # written, not yet safe: the newest, and how many
+        self.pair: Peered | None = None
         self.count: Counter[str] = Counter()
 
     def figures(self) -> Mapping[str, object]:
@@ -155,7 +166,8 @@
 
     def _room(self) -> Room:
         requests, size = self._store.usage(self._space)
-        return Room(requests + len(self._live), size, not self._store.stopped)
+        able = not self._store.stopped and (self.pair is None or self.pair.may_send)
+        return Room(requests + len(self._live), size, able)
 
     def _join(self, live: Live, job: Job, ticket: Ticket, waited: int) -> None:
         """It waits for the one answer, or fails at its own deadline."""
@@ -243,8 +255,30 @@
         self._write(job.id, live.known, lambda problem: self._safe(live, attempt, problem))
 
     def _safe(self, live: Live, attempt: Attempt, problem: StoreError | None) -> None:
-        if problem is None:
+        if problem is None and self.pair is not None and not attempt.ended and live.known is not None:
+            self.pair.want(live.job.id, live.known.pack(), lambda why: self._told(live, attempt, why))
+            self._scheduler.at(attempt.until, lambda: self._late(attempt))
+        elif problem is None:
+            self._module.go(attempt)
+        else:
+            self._not_safe(live, attempt)
+
+    def _told(self, live: Live, attempt: Attempt, why: str) -> None:
+        """The other relay has the intent too, or this one may go on alone; or neither."""
+        if not why:
             return self._module.go(attempt)
+        self.count["kept back"] += 1
+        self._not_safe(live, attempt)
+
+    def _late(self, attempt: Attempt) -> None:
+        """Every wait has an end: a claim without an answer is given up with its attempt."""
+        live = self._live.get(attempt.job.id)
+        if self.pair is not None and not attempt.written and live is not None and live.job is attempt.job:
+            self.pair.drop(attempt.job.id)
+            if not attempt.ended and attempt.connection is None and attempt.number in live.before:
+                self._not_safe(live, attempt)
+
+    def _not_safe(self, live: Live, attempt: Attempt) -> None:
         self.count["intents not safe"] += 1
         before = live.before.get(attempt.number)
         self._module.withdraw(live.job, before is None or before.fate is not Fate.MAY)
@@ -265,6 +299,8 @@
             if after is not live.known:
                 live.known = after
                 self._write(live.job.id, after, lambda _: None)
+                if self.pair is not None:
+                    self.pair.tell(live.job.id, after.pack())
         if live.told:
             self._done(live)
 
@@ -288,6 +324,38 @@
             return done(problem)
         self._unsafe[name] = (memory, waiting + 1)
 
+    # ---- the other relay's records
+
+    def conflicts(self, name: str, record: bytes) -> bool:
+        """Whether a claim of the other relay may not be taken: the id is open here, or more is known of
+        it."""
+        try:
+            claimed, known = decisions.unpack(record), self._known(name)
+        except (StoreError, ValueError):
+            return True
+        return name in self._live or not decisions.newer(claimed, known)
+
+    def mirror(self, name: str, record: bytes, claimed: bool, done: "Done") -> None:
+        """Keep what the other relay knows, where that is more than what is known here."""
+        try:
+            told, known = decisions.unpack(record), self._known(name)
+        except (StoreError, ValueError) as problem:
+            return done(StoreError(str(problem)))
+        live = self._live.get(name)
+        if not claimed and (live is not None or not decisions.newer(told, known)):
+            if live is not None and told.fate is Fate.RAN and live.known is None:
+                live.known = told
+            return done(None)
+        self.count["mirrored"] += 1
+        self._write(name, told, done)
+
+    def all(self) -> Iterator[tuple[str, bytes]]:
+        """Every record, those not yet safe as well."""
+        for key, value in self._store.engine.scan(self._space, b"", self._store.now):
+            yield key.decode(), value
+        for name, (memory, _) in list(self._unsafe.items()):
+            yield name, memory.pack()
+
 
 class Telling(Protocol):
     def __call__(self, ticket: Ticket) -> None: ...
--- a/loftroute/settings/reading.py
+++ b/loftroute/settings/reading.py
@@ -1,5 +1,6 @@
 """Reads the product's settings and checks them whole; an error names file, line and field."""
 
+import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -50,7 +51,11 @@
     "background.busy_share": (0.2, 0.01, 0.9),
     "background.lag_high_ms": (20, 1, 10_000),
     "background.starve_ms": (500, 10, 60_000),
+    "vrrp.allowance_ms": (30_000, 100, 3_600_000),
+    "pair.patience_ms": (500, 20, 60_000),
+    "pair.again_ms": (200, 10, 60_000),
 }
+CONDITIONS = ("ready", "lag", "store", "units", "fence")
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -77,6 +82,14 @@
     def store_on(self) -> bool:
         return bool(self.message.store.directory)
 
+    @property
+    def vrrp_on(self) -> bool:
+        return bool(self.message.vrrp.router)
+
+    @property
+    def pair_on(self) -> bool:
+        return bool(self.message.pair.name)
+
     @property
     def recall_on(self) -> bool:
         return self.message.recall.enabled
@@ -101,6 +114,8 @@
     lines = _lines(text)
     checked = Product(path, message, _numbers(path, message, lines))
     _together(checked, lines)
+    _vrrp(checked, lines)
+    _pair(checked, lines)
     return checked
 
 
@@ -150,6 +165,88 @@
     return numbers
 
 
+def _address(product: Product, lines: dict[str, int], field: str, text: str) -> None:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise _wrong(product.path, lines, field, f"HOST:PORT wanted, found {text!r}")
+
+
+def _ip(
+    product: Product, lines: dict[str, int], field: str, text: str
+) -> "ipaddress.IPv4Address | ipaddress.IPv6Address":
+    try:
+        return ipaddress.ip_address(text)
+    except ValueError:
+        raise _wrong(product.path, lines, field, f"an IP address wanted, found {text!r}") from None
+
+
+def _vrrp(product: Product, lines: dict[str, int]) -> None:
+    """Virtual routers that clash, have nobody to speak with or speak plainly where others listen."""
+    vrrp, path = product.message.vrrp, product.path
+    if not product.vrrp_on:
+        return
+    if not vrrp.peer:
+        raise _wrong(path, lines, "vrrp.peer", "missing, at least one peer wanted")
+    primary = _ip(product, lines, "vrrp.primary", vrrp.primary)
+    _address(product, lines, "vrrp.listen", vrrp.listen)
+    for peer in vrrp.peer:
+        _address(product, lines, "vrrp.peer.endpoint", peer.endpoint)
+        other = _ip(product, lines, "vrrp.peer.primary", peer.primary)
+        if other == primary or other.version != primary.version:
+            raise _wrong(path, lines, "vrrp.peer.primary", "another address of the same family wanted")
+        if not vrrp.key_file and not peer.endpoint.startswith(("127.", "[::1]", "::1")):
+            raise _wrong(path, lines, "vrrp.key_file", "missing; plain only on loopback")
+    if vrrp.announce_to:
+        _address(product, lines, "vrrp.announce_to", vrrp.announce_to)
+    seen: set[int] = set()
+    for router in vrrp.router:
+        if not 1 <= router.vrid <= 255 or router.vrid in seen:
+            raise _wrong(path, lines, "vrrp.router.vrid", f"{router.vrid}: 1 to 255, each once, wanted")
+        seen.add(router.vrid)
+        for name, value, most in (
+            ("priority", router.priority or 100, 255),
+            ("interval_cs", router.interval_cs or 100, 4095),
+        ):
+            if not 1 <= value <= most:
+                raise _wrong(
+                    path, lines, f"vrrp.router.{name}", f"{value} is out of bounds, 1 to {most} wanted"
+                )
+        if not router.address:
+            raise _wrong(path, lines, "vrrp.router.address", "missing, at least one wanted")
+        for address in router.address:
+            if _ip(product, lines, "vrrp.router.address", address).version != primary.version:
+                raise _wrong(path, lines, "vrrp.router.address", "of the primary address's family wanted")
+    for track in vrrp.track:
+        if track.condition not in CONDITIONS or not 1 <= track.cost <= 254:
+            raise _wrong(
+                path, lines, "vrrp.track", f"one of {', '.join(CONDITIONS)} and a cost of 1 to 254 wanted"
+            )
+
+
+def _pair(product: Product, lines: dict[str, int]) -> None:
+    pair, path, witness = product.message.pair, product.path, product.message.witness
+    if witness.listen or witness.directory:
+        _address(product, lines, "witness.listen", witness.listen)
+        if not witness.directory or len(set(witness.name)) != 2 or not witness.key_file:
+            raise _wrong(path, lines, "witness", "directory, the names of two relays and key_file wanted")
+    if not product.message.HasField("pair"):
+        return
+    if (
+        not pair.name
+        or not pair.peer_name
+        or pair.name == pair.peer_name
+        or "witness" in (pair.name, pair.peer_name)
+    ):
+        raise _wrong(path, lines, "pair.name", "two different names wanted, in name and peer_name")
+    if not product.recall_on:
+        raise _wrong(path, lines, "pair", "needs recall.enabled")
+    if not pair.key_file:
+        raise _wrong(path, lines, "pair.key_file", "missing")
+    for field in ("listen", "peer", "witness"):
+        if field != "witness" or pair.witness:
+            _address(product, lines, f"pair.{field}", getattr(pair, field))
+
+
 def _together(product: Product, lines: dict[str, int]) -> None:
     """What must hold between fields."""
     message, whole, path = product.message, product.whole, product.path
--- /dev/null
+++ b/tests/test_pair.py
@@ -0,0 +1,472 @@
+"""The pair: the fence explored as a model, its wire, and two relays with a witness over loopback."""
+
+import contextlib
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from loftroute.lab.pair_model import BOUNDS, Broken, World, explore, wander
+from loftroute.lab.pairs import Duo, play
+from loftroute.lab.standins import ROOT, Relay, eventually
+from loftroute.pair import fence, wire
+from loftroute.pair.fence import (
+    Ask,
+    AskWitness,
+    Denied,
+    LinkDown,
+    Mode,
+    Promote,
+    Refusal,
+    Side,
+    Standing,
+    Tick,
+    Verdict,
+    Want,
+    Witness,
+)
+from loftroute.protocol import NeedMore, ProtocolError
+from loftroute.recall.decisions import Fate, Memory, newer
+
+# ---- the fence as a model
+
+
+def test_every_order_of_steps_to_a_depth_keeps_the_invariants():
+    assert explore(World(("x",), crashes=1, cuts=1).paired(), 6) > 1000
+    assert explore(World(("x",), crashes=0, cuts=1), 6) > 100
+
+
+@pytest.mark.parametrize("part", range(6))
+def test_long_histories_keep_the_invariants_and_come_to_rest_as_a_pair(part):
+    epochs = 0
+    for seed in range(part * 300, part * 300 + 300):
+        world = wander(seed, 200)
+        world.crashes = world.cuts = 0
+        world.asked = {(name, one): 9 for name in world.nodes for one in world.ids}
+        rng = random.Random(seed)
+        for _ in range(400):
+            steps = world.steps()
+            if not steps:
+                break
+            world.do(rng.choice(steps))
+        assert [node.standing.mode for node in world.nodes.values()] == [Mode.PAIRED, Mode.PAIRED], seed
+        epochs += world.witness.record.epoch
+    assert epochs > 300  # sides went alone, and came back
+
+
+def finds(how, many=400):
+    for seed in range(many):
+        try:
+            wander(seed, 300, 10, **how)
+        except Broken as problem:
+            return str(problem)
+    return ""
+
+
+def test_the_model_finds_what_the_fence_is_for():
+    """Controls: each with one rule taken out."""
+    assert "was sent by" in finds({"fenced": False})
+
+
+@pytest.mark.parametrize(
+    "rule",
+    ["epoch of a claim", "conflict", "record before answer", "witness gives once"],
+)
+def test_the_model_finds_each_rule_taken_out(monkeypatch, rule):
+    if rule == "epoch of a claim":
+
+        def claim(self, one, conflict):
+            return (
+                [fence.Tell(fence.ClaimAnswer(one.number, False))]
+                if conflict
+                else [fence.Keep(one.id, one.record, one.number)]
+            )
+
+        monkeypatch.setattr(Side, "_claim", claim)
+        # Alone it sends what the other claims: the late claim of the old epoch is taken though the id is
+        # open here.
+        old = World._hear
+        monkeypatch.setattr(World, "_hear", lambda self, name: old(self, name))
+        monkeypatch.setattr(Side, "_want", lambda self, event: [fence.Granted(event.id)])
+    elif rule == "conflict":
+        old_claim = Side._claim
+        monkeypatch.setattr(Side, "_claim", lambda self, one, conflict: old_claim(self, one, False))
+    elif rule == "record before answer":
+
+        def taken(self, one, conflict):
+            if conflict or one.epoch != self.standing.epoch or self.standing.mode is not Mode.PAIRED:
+                return [fence.Tell(fence.ClaimAnswer(one.number, False))]
+            return [fence.Tell(fence.ClaimAnswer(one.number, True))]
+
+        monkeypatch.setattr(Side, "_claim", taken)
+    elif rule == "witness gives once":
+        monkeypatch.setattr(
+            Witness, "asked", lambda self, ask: Verdict(ask.epoch + 1, ask.name if ask.alone else "")
+        )
+    assert finds({}, 1500)
+
+
+def released_and_crashed():
+    """Alone, the other came back and has all; the witness wrote the pair down, and the side that was alone
+    crashed before it heard of that. The other goes alone; clients ask both for the same id."""
+    world = World(("x",), crashes=9, cuts=9).paired()
+    for step in (("cut",), ("tick", "a"), ("witness", "a"), ("answer", "a"), ("disk", "a"), ("link",)):
+        world.do(step)
+    while "a" not in world.asks:
+        world.do(next(step for step in world.steps() if step[0] in ("hear", "disk")))
+    for step in (
+        ("witness", "a"),
+        ("crash", "a"),
+        ("start", "a"),
+        *([("tick", "b"), ("witness", "b"), ("answer", "b"), ("disk", "b")] * 2),
+        ("ask", "a", "x"),
+        ("disk", "a"),
+        ("ask", "b", "x"),
+        ("disk", "b"),
+    ):
+        world.do(step)
+    return world
+
+
+def test_a_side_that_may_be_one_of_a_pair_again_is_not_alone_after_a_crash(monkeypatch):
+    assert released_and_crashed().sent == {"x": ["b"]}
+
+    def at_once(self, now):
+        return self._ask(now, alone=False) if self.standing.mode is Mode.ALONE else []
+
+    monkeypatch.setattr(Side, "_peer_synced", at_once)
+    with pytest.raises(Broken, match="was sent by"):
+        released_and_crashed()
+
+
+def side(**how):
+    return Side("a", BOUNDS, True, Standing(1, Mode.PAIRED), **how)
+
+
+def test_no_time_lets_a_side_go_alone_only_the_witness_does():
+    it = side()
+    it.handle(0, LinkDown())
+    for now in range(1, 100):
+        actions = it.handle(now * 10, Tick())
+        assert all(isinstance(a, AskWitness) for a in actions)
+        assert it.handle(now * 10, Want(f"{now}", b"")) == []
+    assert it.standing == Standing(1, Mode.PAIRED)
+
+
+def test_what_the_witness_says_of_another_epoch_is_not_followed():
+    it = side()
+    for verdict in (Verdict(0, "a"), Verdict(5, "a"), Verdict(1, "")):
+        assert it.handle(0, fence.Said(verdict)) == []
+
+
+def test_an_order_is_refused_while_the_other_is_heard_and_to_a_new_store():
+    assert isinstance(side(linked=True).handle(0, Promote())[0], Refusal)
+    assert isinstance(Side("a", BOUNDS, True).handle(0, Promote())[0], Refusal)
+    assert side().handle(0, Promote()) == [AskWitness(Ask("a", 1, True, True))]
+
+
+def test_claims_are_bounded():
+    it = Side("a", replace(BOUNDS, claims=2), True, Standing(1, Mode.PAIRED))
+    assert [type(a) for n in range(3) for a in it.handle(0, Want(str(n), b""))] == [Denied]
+
+
+def test_of_two_records_the_one_that_says_more_counts():
+    may, ran, never = (Memory(f, "c", "k", 1) for f in (Fate.MAY, Fate.RAN, Fate.NEVER))
+    again = replace(may, attempts=2)
+    assert all(newer(one, None) for one in (may, ran, never))
+    assert newer(never, may) and newer(ran, may) and newer(again, never) and newer(ran, again)
+    assert not newer(may, may) and not newer(may, never) and not newer(never, again)
+    assert not any(newer(one, ran) for one in (may, never, again, ran))
+
+
+# ---- the wire
+
+MESSAGES = [
+    wire.Alive(),
+    fence.Hello(Standing(4, Mode.FENCED, True)),
+    fence.Claim(1, 2, "id", b"\0x"),
+    fence.ClaimAnswer(3, True),
+    fence.Mirror("id", b""),
+    fence.SyncEnd(),
+    fence.Synced(),
+    fence.Rejoin(9),
+    Ask("a", 1, True, False),
+    Verdict(2, "b"),
+    wire.Status(),
+    wire.Order(),
+    wire.StandDown(),
+    wire.Report("é"),
+]
+
+
+def ends():
+    return wire.Proof(b"k" * 32, b"1" * 16, b"2" * 16, True), wire.Proof(
+        b"k" * 32, b"2" * 16, b"1" * 16, False
+    )
+
+
+def test_messages_come_back_in_order_and_only_so():
+    out, into = ends()
+    raws = [out.seal(message) for message in MESSAGES]
+    for raw, message in zip(raws, MESSAGES, strict=True):
+        body, at = wire.frame(bytearray(raw), 0, len(raw))
+        found = into.open(body)
+        assert at == len(raw) and type(found) is type(message)
+        assert wire.pack(found) == wire.pack(message)
+    for raw in raws[:2]:  # replayed
+        with pytest.raises(ProtocolError):
+            into.open(raw[4:])
+
+
+@given(st.binary(max_size=100))
+@settings(max_examples=200, deadline=None, derandomize=True, database=None)
+def test_garbage_on_the_wire_raises_nothing_but_its_own_error(raw):
+    for read in (wire.unpack, wire.greeted, lambda data: wire.frame(bytearray(data), 0, len(data))):
+        with contextlib.suppress(ProtocolError, NeedMore):
+            read(raw)
+
+
+# ---- two relays, a witness, a switch
+
+
+@pytest.fixture
+def duo(tmp_path):
+    made = []
+
+    def make(**how):
+        made.append(Duo(tmp_path, **how))
+        made[-1].both()
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def served(answer):
+    return answer is not None and not answer.startswith(b"-")
+
+
+def test_an_id_answered_by_one_relay_is_known_to_the_other_and_a_crash_is_got_over(duo):
+    it = duo()
+    name = Relay.id()
+    assert all(served(it.ask(it.relays[n].port, name)) for n in (0, 1, 0))
+    assert it.runs()[name] == 1
+    it.kill(0)
+    begun = time.monotonic()
+    eventually(lambda: served(it.ask(it.switch.way.port, Relay.id(), 300)))
+    assert time.monotonic() - begun < 3
+    assert (
+        it.status(1)["mode"] == "alone" and served(it.ask(it.switch.way.port, name)) and it.runs()[name] == 1
+    )
+    it.start(0)
+    it.both()
+    assert it.status(0)["epoch"] == it.status(1)["epoch"] == 3
+    name = Relay.id()
+    assert served(it.ask(it.relays[1].port, name)) and served(it.ask(it.relays[0].port, name))
+    assert it.runs()[name] == 1
+
+
+def test_a_split_lets_one_side_go_on_and_refuses_on_the_other(duo):
+    it = duo()
+    it.advertisements(down=True)
+    it.cut_link()
+    eventually(lambda: len(it.switch.holders) == 2)  # both believe that they are Active
+    eventually(
+        lambda: (
+            {it.status(n)["mode"] for n in (0, 1)} == {"alone", "fenced"}
+            or {it.status(n)["mode"] for n in (0, 1)} == {"alone", "paired"}
+        )
+    )
+    alone = 0 if it.status(0)["mode"] == "alone" else 1
+    assert served(it.ask(it.relays[alone].port, Relay.id()))
+    assert it.ask(it.relays[1 - alone].port, Relay.id()).startswith(b"-BUSY")
+    client = it.relays[1 - alone].client()
+    assert it.relays[1 - alone].read(client) == b"value of k1"  # safe classes go on
+    it.mend_link()
+    it.advertisements()
+    it.both()
+    eventually(lambda: len(it.switch.holders) == 1 and it.switch.splits)
+    assert max(it.runs().values()) == 1
+
+
+def test_without_the_witness_neither_goes_on_until_an_operator_orders_it(duo):
+    it = duo()
+    for way in it.asks:
+        way.cut()
+
+    def order(n):
+        return subprocess.run(
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "loftroute",
+                "pair",
+                "promote",
+                "--settings",
+                str(it.relays[n].tmp / "product.textproto"),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    heard = order(1)
+    assert heard.returncode == 1 and "is heard" in heard.stdout
+    it.kill(0)
+    time.sleep(1.0)
+    assert it.ask(it.relays[1].port, Relay.id()).startswith(b"-BUSY")
+    assert order(1).returncode == 1  # the other may have it from the witness: nobody can tell
+    it.asks[1].mend()
+    eventually(lambda: it.status(1)["mode"] == "alone")
+    assert served(it.ask(it.relays[1].port, Relay.id()))
+
+
+def test_a_relay_that_was_stopped_goes_on_with_requests_in_its_hands_and_sends_nothing_twice(duo):
+    it = duo()
+    name = Relay.id()
+    client = it.relays[0].client()
+    for unit in it.units.values():
+        unit._delay = 0.4
+    client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
+    eventually(lambda: it.runs().get(name))
+    os.kill(it.relays[0].process.pid, signal.SIGSTOP)
+    eventually(lambda: it.status(1)["mode"] == "alone")
+    assert it.ask(it.relays[1].port, name) == b"-ERR failed"  # it may have run
+    os.kill(it.relays[0].process.pid, signal.SIGCONT)
+    it.both()
+    assert it.runs()[name] == 1
+
+
+def test_a_planned_failback_hands_the_address_on_and_finishes_what_was_taken(duo):
+    it = duo(preempt=False)
+    client, name = it.relays[0].client(), Relay.id()
+    for unit in it.units.values():
+        unit._delay = 0.3
+    client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
+    eventually(lambda: it.runs().get(name))
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-B",
+            "-m",
+            "loftroute",
+            "pair",
+            "failback",
+            "--settings",
+            str(it.relays[0].tmp / "product.textproto"),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        timeout=30,
+    )
+    assert done.returncode == 0
+    eventually(lambda: it.switch.holders == {it.at(1)})
+    assert (
+        client.read() == b"value of k1" and served(it.ask(it.relays[1].port, name)) and it.runs()[name] == 1
+    )
+
+
+def test_trouble_by_seed_runs_nothing_twice(duo):
+    seen = play(duo(), 14, 3)
+    assert seen.twice == [] and seen.served > 100 and seen.kills + seen.stops + seen.cuts > 3
+    assert seen.ids > 200
+
+
+def test_a_flood_of_strangers_and_a_replayed_255_move_nothing(duo):
+    it = duo()
+    moves = len(it.switch.moves)
+    old = list(it.to[1].heard)
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        for raw in old:
+            it.to[1].inject(raw)
+        it.to[1].inject(os.urandom(80))
+        time.sleep(0.0002)
+    routers = it.status(1)["routers"]
+    assert routers[0]["state"] == "Backup" and len(it.switch.moves) == moves
+    it.relays[1].process.send_signal(signal.SIGTERM)
+    it.relays[1].process.wait(10)
+    assert "vrrp replayed" in it.relays[1].text() and "vrrp datagram length" in it.relays[1].text()
+
+
+def test_keys_are_changed_while_it_runs(duo):
+    it = duo()
+    for text in (
+        "1 " + "5c" * 32 + "\n2 " + "7d" * 32 + "\n",
+        "2 " + "7d" * 32 + "\n1 " + "5c" * 32 + "\n",
+        "2 " + "7d" * 32 + "\n",
+    ):
+        it.key.write_text(text)
+        time.sleep(0.3)
+    it.cut_link()
+    it.mend_link()
+    it.both()
+    assert it.status(0)["routers"][0]["state"] == "Active" and served(it.ask(it.switch.way.port, Relay.id()))
+    assert len(it.switch.holders) == 1
+
+
+# ---- settings
+
+
+PEER = 'peer {{ primary: "192.0.2.2" endpoint: "127.0.0.1:8" }}'
+VRRP = 'vrrp {{ primary: "192.0.2.1" listen: "127.0.0.1:9" ' + PEER + " {} }}"
+ROUTER = 'router { vrid: 7 address: "192.0.2.100" }'
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (VRRP.format(ROUTER + "\n" + ROUTER), "vrrp.router.vrid: 7"),
+        ('vrrp { primary: "192.0.2.1" listen: "127.0.0.1:9" ' + ROUTER + " }", "vrrp.peer: missing"),
+        (VRRP.format("router { vrid: 7 }"), "vrrp.router.address"),
+        (VRRP.format('router { vrid: 7 address: "2001:db8::1" }'), "family"),
+        (VRRP.format('router { vrid: 7 interval_cs: 5000 address: "192.0.2.100" }'), "interval_cs: 5000"),
+        (VRRP.format(ROUTER + ' track { condition: "mood" cost: 5 }'), "vrrp.track"),
+        (VRRP.format(ROUTER).replace("127.0.0.1:8", "192.0.2.2:8"), "vrrp.key_file: missing"),
+        ('pair { name: "a" peer_name: "a" }', "pair.name"),
+        ('pair { name: "a" peer_name: "b" }', "pair: needs recall"),
+        ('witness { listen: "127.0.0.1:5" }', "witness: directory"),
+    ],
+)
+def test_settings_that_clash_are_named(tmp_path, text, says):
+    path = tmp_path / "s.textproto"
+    path.write_text(text)
+    found = subprocess.run(
+        [sys.executable, "-B", "-m", "loftroute", "check-settings", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert found.returncode == 2 and says in found.stderr and f"{path}:" in found.stderr, found.stderr
+
+
+def test_a_key_file_that_others_may_read_is_refused(tmp_path):
+    keys = tmp_path / "keys"
+    keys.write_text("1 " + "ab" * 32)
+    keys.chmod(0o644)
+    path = tmp_path / "s.textproto"
+    path.write_text(
+        f'witness {{ directory: "{tmp_path / "w"}" listen: "127.0.0.1:5" name: "a" name: "b" '
+        f'key_file: "{keys}" }}'
+    )
+    found = subprocess.run(
+        [sys.executable, "-B", "-m", "loftroute", "witness", "--settings", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert found.returncode == 2 and "mode 600" in found.stderr
+    assert json.dumps(found.stderr)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,6 +19,7 @@
     OnDamage,
     OnSyncError,
     ReadOnly,
+    Run,
     TooLarge,
     Unsure,
     amplified,
@@ -553,3 +554,41 @@
 
 def test_a_trial_can_be_played_again_from_its_seed():
     assert Trial(7).run() == Trial(7).run()
+
+
+def test_left_over_bytes_of_a_longer_write_never_pass_for_frames():
+    """Frames are linked: what an earlier write left behind at the same offsets does not go on the new
+    ones."""
+    from loftroute.store.plan import walk
+    from loftroute.store.records import LOG, Header, frame, payload
+
+    header = Header(LOG, 1, 1, 0, 0, 0, ID)
+    old, link = [], header.seed
+    for n in range(2):
+        raw, link = frame(header.seed, link, n + 1, 0, 5, payload([Op(PUT, 1, b"k%d" % n, b"old")]))
+        old.append(raw)
+    new, _ = frame(header.seed, header.seed, 1, 0, 6, payload([Op(PUT, 1, b"k0", b"new")]))
+    data = header.pack() + new + old[1]
+    assert len(new) == len(old[0])
+    frames, end = walk(data, header, 4096, HEADER_SIZE, 1, header.seed)
+    assert len(frames) == 1 and end == HEADER_SIZE + len(new)
+
+
+def test_a_deletion_is_kept_while_an_older_file_may_hold_what_it_hides():
+    disk = Disk(random.Random(3))
+    engine, space = start(disk, replace(PLAIN, checkpoint_keys=1 << 30))
+    put(engine, space, b"gone", b"x" * 500)
+    put(engine, space, b"a", b"x" * 500)
+    put(engine, space, b"b", b"x" * 560)
+    engine.submit([Op(DELETE, space, b"gone")], lambda _: None)
+    drive(engine.commit(0))
+    for n in range(5):
+        put(engine, space, b"c%d" % n, b"x" * 500)
+    place = next(n for n, s in enumerate(engine.sealed) if s.deletions)
+    assert place > 0
+    drive(engine.compact(Run(place, place, "test"), 0))
+    assert engine.count["compactions"] == 1
+    again, space = start(disk.crash(), replace(PLAIN, checkpoint_keys=1 << 30))
+    assert b"gone" not in state(again, space)
+    drive(again.compact(Run(0, len(again.sealed) - 1, "test"), 0))
+    assert sum(s.deletions for s in again.sealed) == 0 and b"gone" not in state(again, space)
