Pair: calls wait for the other relay's outcome; failback finishes first; a full Backup steps aside

Cause: a call through the other relay right after the first was failed, since the claim was there and the outcome still on its way; a Backup whose disk is full linked, failed a record, and linked again, so that the Active never asked the witness, or won the witness's word itself and could not write it down; failback sent priority 0 before what was open was answered.

Change: ids open at the other relay are known, and calls wait for their outcome or their own deadline; a side that could not store a record takes no connection and asks no witness for ten times the patience; failback waits for what is open.

Seen: tests for each, that fail without it (tried for the first two: they were found that way); SIGKILL between the other's word and the write, after the write and after the answer: no id twice; the better relay comes back in a storm of six clients: all answered, nothing twice.

--- a/loftroute/lab/killer.py
+++ b/loftroute/lab/killer.py
@@ -22,6 +22,7 @@
     "intent written, not safe": (Keeper, "intend", False),
     "committed, nobody told": (Engine, "_group_safe", True),
     "intent safe": (Keeper, "_safe", True),
+    "claim answered": (Keeper, "_told", True),
     "request sent": (Module, "go", False),
     "unit answered": (Keeper, "ended", True),
     "outcome written, not safe": (Keeper, "ended", False),
--- a/loftroute/lab/kills.py
+++ b/loftroute/lab/kills.py
@@ -174,7 +174,7 @@
 
 def play(kills: int, lanes: int, seed: int, unfenced: bool = False, at: tuple[str, ...] = ()) -> Seen:
     """So many kills, shared out over relays side by side; every point as often."""
-    points = list(at or POINTS)
+    points = list(at or [point for point in POINTS if point != "claim answered"])  # that is a pair's
     plan = [points[n % len(points)] for n in range(kills)]
     random.Random(seed).shuffle(plan)
     total = Seen()
--- a/loftroute/lab/pairs.py
+++ b/loftroute/lab/pairs.py
@@ -47,7 +47,13 @@
     """The pair and all around it."""
 
     def __init__(
-        self, folder: Path, seed: int = 1, interval: int = 5, patience: int = 300, preempt: bool = True
+        self,
+        folder: Path,
+        seed: int = 1,
+        interval: int = 5,
+        patience: int = 300,
+        preempt: bool = True,
+        kill: str = "",
     ) -> None:
         self.folder, self.rng = folder, random.Random(seed)
         self.units = {f"u{n}": Counting("a", 0.003) for n in range(3)}
@@ -89,7 +95,12 @@
   witness: "{self.asks[n].address}" key_file: "{self.key}" patience_ms: {patience} again_ms: 50
 }}
 '''
-            self.relays.append(Member(place, self.units, product))
+            how = (
+                {"program": "loftroute.lab.killer", "env": {"LOFTROUTE_KILL": kill}}
+                if kill and n == 0
+                else {}
+            )
+            self.relays.append(Member(place, self.units, product, **how))
         for relay in self.relays:
             relay.go = True
             relay.start()
@@ -286,11 +297,47 @@
     duo.advertisements()
 
 
+def demonstrate() -> None:
+    """A newcomer's pair: both relays as they stand, a crash of the Active, and its return."""
+    with tempfile.TemporaryDirectory() as folder:
+        duo = Duo(Path(folder))
+        try:
+            duo.both()
+            name = Relay.id()
+            _show(duo, "two relays and a witness on loopback")
+            click.echo(f"book {name} through the address: {duo.ask(duo.switch.way.port, name)!r}")
+            begun = time.monotonic()
+            duo.kill(0)
+            eventually(lambda: duo.ask(duo.switch.way.port, Relay.id(), 300) == b"value of k1")
+            _show(duo, f"ra was killed; {time.monotonic() - begun:.2f} s later the address serves again")
+            click.echo(
+                f"the same book again: {duo.ask(duo.switch.way.port, name)!r}, run {duo.runs()[name]} time(s)"
+            )
+            duo.start(0)
+            duo.both()
+            _show(duo, "ra is back")
+        finally:
+            duo.close()
+
+
+def _show(duo: Duo, what: str) -> None:
+    click.echo(f"-- {what}")
+    for n, relay in enumerate(("ra", "rb")):
+        found = duo.status(n)
+        routers = found.get("routers", [])
+        state = routers[0]["state"] if isinstance(routers, list) and routers else ""
+        stands = f"{state}, {found['mode']} in epoch {found['epoch']}" if found else "gone"
+        click.echo(f"   {relay}: {stands}")
+
+
 @click.command()
 @click.option("--seconds", default=600, show_default=True)
 @click.option("--seed", default=1, show_default=True)
-def main(seconds: int, seed: int) -> None:
+@click.option("--show", is_flag=True, help="Start a pair, end its Active, show what becomes of it.")
+def main(seconds: int, seed: int, show: bool) -> None:
     """Play long, and say what was seen."""
+    if show:
+        return demonstrate()
     with tempfile.TemporaryDirectory() as folder:
         duo = Duo(Path(folder), seed)
         try:
--- a/loftroute/pair/attach.py
+++ b/loftroute/pair/attach.py
@@ -85,7 +85,20 @@
         relay.parts.append(speaker)
         if pair:
             pair.status = speaker.status
-            pair.stand_down = speaker.stand_down_all
+            pair.stand_down = lambda: hand_on(relay, speaker)
+
+
+def hand_on(relay: Relay, speaker: Speaker) -> None:
+    """A planned failback: what is open now is finished first, each by its own deadline at the latest; then
+    the peer, which has every record, is told by priority 0 to take over."""
+    taken = list(relay.module.open.values())
+
+    def wait() -> None:
+        while any(relay.module.open.get(held.job.id) is held for held in taken):
+            relay.scheduler.sleep(5_000_000)
+        speaker.stand_down_all()
+
+    relay.scheduler.spawn("hand on", wait)
 
 
 def _pair(relay: Relay, product: Product, store: Store, keeper: Keeper) -> Pair:
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -56,6 +56,8 @@
 from loftroute.vrrp.keyring import Keyring
 
 SPACE = "pair"
+# Times patience: so long a side that could not store a record takes no connection, so that the other asks.
+SHY = 10
 UNSENT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
 Done = Callable[[StoreError | None], None]
 
@@ -66,6 +68,7 @@
     def conflicts(self, name: str, record: bytes) -> bool: ...
     def mirror(self, name: str, record: bytes, claimed: bool, done: Done) -> None: ...
     def all(self) -> Iterator[tuple[str, bytes]]: ...
+    def unlinked(self) -> None: ...
 
 
 class Connection:
@@ -149,6 +152,7 @@
         self._orders: list[Connection] = []
         self.count: Counter[str] = Counter()
         self._listener = Listener(scheduler, listen, 16)
+        self._shy_until = 0
         self._writes = 0  # mirrored records under way
         self._syncs: list[int] = []
         scheduler.spawn("pair listener", self._listen)
@@ -232,6 +236,8 @@
         elif isinstance(action, SyncDown):
             self._sync_down()
         elif isinstance(action, AskWitness):
+            if action.ask.alone and (self._store.stopped or self._scheduler.clock.now() < self._shy_until):
+                return  # it could not write down that it is alone: the other is to ask
             self._asks.append(action.ask)
             if self._asker:
                 self._scheduler.wake(self._asker)
@@ -253,7 +259,9 @@
                 self._handle(Stored(action.number))
             if problem is not None and linking == self._linking and self._connection:
                 logger.error("pair: a record of the other relay can't be stored: {}", problem)
+                self._shy_until = self._scheduler.clock.now() + SHY * self._bounds.patience
                 self._connection.close()  # it is not to think that it is safe here
+                self._lost()
             if not self._writes:
                 self._all_written()
 
@@ -306,7 +314,7 @@
     def _dial(self) -> None:
         clock = self._scheduler.clock
         while True:
-            if self._connection is None:
+            if self._connection is None and clock.now() >= self._shy_until:
                 try:
                     stream = Stream.dial(
                         self._scheduler,
@@ -331,6 +339,8 @@
                 raise ProtocolError(f"{connection.peer} answers, {wanted} was called")
             if connection.peer != self._peer_name:
                 return self._operator(connection)
+            if clock.now() < self._shy_until:
+                return
             connection.send(wire.Alive())
             first = connection.receive(clock.now() + patience)  # proves that it has the key
             if not isinstance(first, wire.Alive):
@@ -360,6 +370,8 @@
         if self._syncing is not None:
             self._scheduler.cancel(self._syncing)
             self._syncing = None
+        if self.records is not None:
+            self.records.unlinked()
         self._handle(LinkDown())
 
     def _alive(self, connection: Connection) -> None:
@@ -462,7 +474,7 @@
             connection.send(wire.Report(text.hex()))
         elif isinstance(message, wire.StandDown):
             self.stand_down()
-            connection.send(wire.Report("handed on"))
+            connection.send(wire.Report("what is open is finished, then the addresses are handed on"))
         elif isinstance(message, wire.Order):
             self._orders.append(connection)
             self._handle(Promote())
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -26,6 +26,7 @@
 from loftroute.store.records import PUT, Op, StoreError
 
 SPACE = "recall"
+ELSEWHERE = 10_000  # ids open at the other relay that calls may wait for here
 
 
 class Peered(Protocol):
@@ -115,6 +116,9 @@
         self._live: dict[str, Live] = {}
         self._unsafe: dict[str, tuple[Memory, int]] = {}  # written, not yet safe: the newest, and how many
         self.pair: Peered | None = None
+        self._elsewhere: dict[
+            str, list[Joined]
+        ] = {}  # ids open at the other relay, and who waits for them here
         self.count: Counter[str] = Counter()
 
     def figures(self) -> Mapping[str, object]:
@@ -135,6 +139,9 @@
         live = self._live.get(job.id)
         if live is not None:
             return self._join(live, job, ticket, waited)
+        elsewhere = self._elsewhere.get(job.id)
+        if elsewhere is not None and len(elsewhere) < self._joined:
+            return self._wait_elsewhere(elsewhere, job, ticket, waited)
         try:
             known = self._known(job.id)
         except (StoreError, ValueError) as problem:  # it can't be told what became of it
@@ -169,19 +176,47 @@
         able = not self._store.stopped and (self.pair is None or self.pair.may_send)
         return Room(requests + len(self._live), size, able)
 
+    def _wait_elsewhere(self, waiting: list[Joined], job: Job, ticket: Ticket, waited: int) -> None:
+        """The other relay has it open: its outcome comes here, or the call ends at its own deadline."""
+        self.count["joined elsewhere"] += 1
+        one = self._joining(job, ticket, waited)
+
+        def late() -> None:
+            if one in waiting:
+                waiting.remove(one)
+                one.ticket.failed()
+
+        one.timer = self._scheduler.at(one.deadline, late)
+        waiting.append(one)
+
+    def _come_back(self, name: str) -> None:
+        """What the other relay had open is open no more: the record has the answer, as far as there is
+        one."""
+        for one in self._elsewhere.pop(name, []):
+            self._call_anew(one)
+
+    def unlinked(self) -> None:
+        """No outcome will come: what is known has to do."""
+        for name in list(self._elsewhere):
+            self._come_back(name)
+
+    def _call_anew(self, waiting: Joined) -> None:
+        if waiting.timer:
+            waiting.timer.cancel()
+        waiting.job.left = max(waiting.deadline - self._scheduler.clock.now(), MS)
+        self.asked(waiting.job, waiting.ticket, 0)
+
+    def _joining(self, job: Job, ticket: Ticket, waited: int) -> Joined:
+        left = min(job.left, self._config.settings.classes[job.cls].deadline) - waited
+        return Joined(job, ticket, self._scheduler.clock.now() + max(left - self._config.transport.spare, MS))
+
     def _join(self, live: Live, job: Job, ticket: Ticket, waited: int) -> None:
         """It waits for the one answer, or fails at its own deadline."""
         if len(live.joined) >= self._joined or job.cls != live.job.cls or job.key != live.job.key:
             self.count["not joined"] += 1
             return ticket.failed()
         self.count["joined"] += 1
-        left = max(
-            min(job.left, self._config.settings.classes[job.cls].deadline)
-            - waited
-            - self._config.transport.spare,
-            MS,
-        )
-        waiting = Joined(job, ticket, self._scheduler.clock.now() + left)
+        waiting = self._joining(job, ticket, waited)
         waiting.timer = self._scheduler.at(waiting.deadline, lambda: self._give_up(live, waiting))
         live.joined.append(waiting)
 
@@ -208,6 +243,8 @@
         """The client has left, or one that joined. What was sent goes on, and its outcome is kept."""
         live = self._live.get(job.id)
         if live is None:
+            elsewhere = self._elsewhere.get(job.id, [])
+            elsewhere[:] = [one for one in elsewhere if one.job is not job]
             return
         if live.job is job:
             live.told = True
@@ -229,10 +266,7 @@
         """Those that joined a request whose client left call anew: the record has the answer."""
         joined, live.joined = live.joined, []
         for waiting in joined:
-            if waiting.timer:
-                waiting.timer.cancel()
-            waiting.job.left = max(waiting.deadline - self._scheduler.clock.now(), MS)
-            self.asked(waiting.job, waiting.ticket, 0)
+            self._call_anew(waiting)
 
     # ---- attempts
 
@@ -299,8 +333,8 @@
             if after is not live.known:
                 live.known = after
                 self._write(live.job.id, after, lambda _: None)
-                if self.pair is not None:
-                    self.pair.tell(live.job.id, after.pack())
+            if self.pair is not None:
+                self.pair.tell(live.job.id, after.pack())
         if live.told:
             self._done(live)
 
@@ -343,11 +377,14 @@
             return done(StoreError(str(problem)))
         live = self._live.get(name)
         if not claimed and (live is not None or not decisions.newer(told, known)):
-            if live is not None and told.fate is Fate.RAN and live.known is None:
-                live.known = told
+            self._come_back(name)
             return done(None)
         self.count["mirrored"] += 1
         self._write(name, told, done)
+        if claimed and len(self._elsewhere) < ELSEWHERE:
+            self._elsewhere.setdefault(name, [])
+        elif not claimed:
+            self._come_back(name)
 
     def all(self) -> Iterator[tuple[str, bytes]]:
         """Every record, those not yet safe as well."""
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -4,9 +4,11 @@
 import json
 import os
 import random
+import resource
 import signal
 import subprocess
 import sys
+import threading
 import time
 from dataclasses import replace
 
@@ -348,6 +350,82 @@
     assert it.runs()[name] == 1
 
 
+def test_a_call_through_the_other_relay_waits_for_the_outcome(duo):
+    it = duo()
+    for unit in it.units.values():
+        unit._delay = 0.4
+    name, client = Relay.id(), it.relays[0].client()
+    client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
+    eventually(lambda: it.runs().get(name))
+    assert served(it.ask(it.relays[1].port, name, 2000)) and served(client.read()) and it.runs()[name] == 1
+    client.send("Q.DO", "k1", second := Relay.id(), "c=pay,t=acme,d=3000", "BODY")
+    eventually(lambda: it.runs().get(second))
+    begun = time.monotonic()
+    assert it.ask(it.relays[1].port, second, 200) == b"-ERR failed"  # at its own deadline
+    assert time.monotonic() - begun < 0.4
+
+
+def test_the_better_relay_comes_back_in_a_storm_of_requests(duo):
+    """It preempts only once it has the other's records; what is open meanwhile is answered, nothing twice."""
+    it = duo()
+    it.kill(0)
+    eventually(lambda: it.status(1)["mode"] == "alone")
+    names, answers, stop = [], [], threading.Event()
+
+    def ask():
+        while not stop.is_set():
+            names.append(name := Relay.id())
+            answers.append([it.ask(it.switch.way.port, name), it.ask(it.switch.way.port, name)])
+
+    threads = [threading.Thread(target=ask) for _ in range(6)]
+    for thread in threads:
+        thread.start()
+    it.start(0)
+    eventually(lambda: it.switch.holders == {it.at(0)}, 15)
+    time.sleep(0.5)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    assert max(it.runs().values()) == 1 and len(answers) > 100
+    assert sum(served(one[0]) for one in answers) > 0.8 * len(answers)
+    assert all(served(again) for first, again in answers if served(first) and again is not None)
+
+
+@pytest.mark.parametrize("point", ["claim answered", "request sent", "unit answered"])
+def test_the_active_killed_around_the_write_and_clients_ask_the_other(tmp_path, point):
+    it = Duo(tmp_path, kill=f"{point}:5")
+    try:
+        it.both()
+        names, answers = [Relay.id() for _ in range(12)], {}
+        for name in names:
+            answers[name] = it.ask(it.relays[0].port, name)
+        assert it.relays[0].process.wait(5) == -signal.SIGKILL
+        it.relays[0].env = {}
+        eventually(lambda: it.status(1)["mode"] == "alone")
+        for name in names:
+            again = it.ask(it.relays[1].port, name)
+            assert again is not None and (not served(answers[name]) or served(again))
+        it.start(0)
+        it.both()
+        for name in names:
+            assert it.ask(it.relays[0].port, name) is not None
+        assert max(it.runs().values()) == 1 and len(it.runs()) >= 11
+    finally:
+        it.close()
+
+
+def test_a_backup_whose_disk_is_full_keeps_the_active_from_nothing(duo):
+    """It can't store claims: the Active asks the witness and goes on alone; the Backup refuses."""
+    it = duo()
+    resource.prlimit(it.relays[1].process.pid, resource.RLIMIT_FSIZE, (64, 64))
+    eventually(lambda: it.ask(it.relays[0].port, Relay.id()) and it.status(0)["mode"] == "alone", 12)
+    eventually(lambda: served(it.ask(it.relays[0].port, Relay.id())))
+    assert not served(it.ask(it.relays[1].port, Relay.id()))
+    client = it.relays[1].client()
+    assert it.relays[1].read(client) == b"value of k1"
+    assert max(it.runs().values()) == 1
+
+
 def test_a_planned_failback_hands_the_address_on_and_finishes_what_was_taken(duo):
     it = duo(preempt=False)
     client, name = it.relays[0].client(), Relay.id()
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -266,7 +266,10 @@
     ("store", ("loftroute.relay", "loftroute.recall", "loftroute.settings", "loftroute.cli", "loftroute.lab",
                "loftroute.decision")),
     ("recall", ("loftroute.cli", "loftroute.lab", "socket", "time", "os")),
-    ("cli", ("socket", "select", "time")),
+    ("vrrp", ("loftroute.relay", "loftroute.store", "loftroute.recall", "loftroute.pair", "loftroute.cli",
+              "loftroute.lab", "socket", "select")),
+    ("pair", ("loftroute.cli", "loftroute.lab", "socket", "select")),
+    ("cli", ("select", "time", "loftroute.lab")),
 ])
 def test_layers_import_only_what_lies_below(layer, barred):
     for path in (ROOT / "loftroute" / layer).glob("*.py"):
@@ -277,7 +280,8 @@
 
 
 CORES = ["store/records.py", "store/index.py", "store/state.py", "store/plan.py", "store/time.py",
-         "moments.py", "recall/decisions.py", "runtime/background.py"]
+         "moments.py", "recall/decisions.py", "runtime/background.py", "protocol/vrrp.py", "vrrp/machine.py",
+         "vrrp/envelope.py", "vrrp/tracking.py", "pair/fence.py", "pair/wire.py"]
 
 
 @pytest.mark.parametrize("core", CORES)
@@ -297,6 +301,6 @@
     loaded = subprocess.run([sys.executable, "-B", "-c", script], cwd=ROOT, capture_output=True, text=True,
                             check=True).stdout.split()
     libraries = {"click", "google", "google_crc32c", "lark", "msgpack", "sortedcontainers"}
-    ours = {"store", "recall", "settings", "cli", "lab"}
+    ours = {"store", "recall", "settings", "cli", "lab", "vrrp", "pair"}
     assert not libraries & {name.split(".")[0] for name in loaded}
     assert not {name for name in loaded if name.startswith("loftroute.") and name.split(".")[1] in ours}
