--- a/loftroute/pair/attach.py
+++ b/loftroute/pair/attach.py
@@ -124,7 +124,7 @@
     primary, here = ipaddress.ip_address(vrrp.primary), address(vrrp.listen)
     keys = ring(product, vrrp.key_file) if vrrp.key_file else Keyring("")
     peers = {ipaddress.ip_address(p.primary): address(p.endpoint) for p in vrrp.peer}
-    conditions = tuple(Condition(t.condition, t.cost) for t in vrrp.track)
+    conditions = tuple(Condition(t.condition, t.cost, t.condition != "fence") for t in vrrp.track)
     routers = []
     for said in vrrp.router:
         setting = Setting(
--- a/loftroute/vrrp/tracking.py
+++ b/loftroute/vrrp/tracking.py
@@ -11,6 +11,7 @@
 
     name: str
     cost: int
+    damped: bool = True  # False: it is decided, not measured, and counts at once when it holds again
 
 
 @dataclass(slots=True)
@@ -58,7 +59,7 @@
                 continue
             if not held.holds and now - held.since >= self.down:
                 self._counted.add(condition.name)
-            elif held.holds and now - held.since >= self._wait(held, now):
+            elif held.holds and (not condition.damped or now - held.since >= self._wait(held, now)):
                 self._counted.discard(condition.name)
         cost = sum(c.cost for c in self.conditions if c.name in self._counted)
         base = min(self.base, OWNER - 1) if cost else self.base
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -427,3 +427,13 @@
     low = Tracker(20, (Condition("store", 50),))
     low.note(0, "store", False)
     assert low.priority(SECOND) == 1
+
+
+def test_who_was_given_the_epoch_counts_at_once():
+    """Whom the witness lets go on alone must not wait for the address as for a thing that flaps."""
+    it = Tracker(150, (Condition("fence", 120, False),))
+    for n in range(4):
+        it.note(n * SECOND, "fence", False)
+        assert it.priority(n * SECOND + 100 * MS) == 30
+        it.note(n * SECOND + 300 * MS, "fence", True)
+        assert it.priority(n * SECOND + 300 * MS) == 150
