--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -33,10 +33,22 @@
     raise AssertionError("it did not come true in time")
 
 
+# Below what the system gives to connections, each port once a process: one that was only looked at and let go
+# could be handed out again, or be taken by a connection before its server starts.
+PORTS = iter(20_000 + (os.getpid() * 61 + n) % 12_000 for n in range(12_000))
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that no other call of this process gets, TCP and UDP."""
+    for port in PORTS:
+        with socket.socket() as stream, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no port is left")
 
 
 def words_of(file: Any) -> list[bytes] | None:
