Pair: who may not send is never preferred, also without a setting; the flood is measured

Cause: that a relay which came back fetches what it missed before it is preferred rested on a track condition that an operator had to give.

Change: in a pair the condition fence is there with a cost of 254 unless given. The flood's test now sends thousands of datagrams a second to the Active too, and counts its advertisements.

Seen: over 1,000 strangers' datagrams to the Active in a second: at least 13 of 20 advertisements (half an interval late each would give 13).

--- a/loftroute/pair/attach.py
+++ b/loftroute/pair/attach.py
@@ -125,6 +125,8 @@
     keys = ring(product, vrrp.key_file) if vrrp.key_file else Keyring("")
     peers = {ipaddress.ip_address(p.primary): address(p.endpoint) for p in vrrp.peer}
     conditions = tuple(Condition(t.condition, t.cost, t.condition != "fence") for t in vrrp.track)
+    if pair is not None and all(c.name != "fence" for c in conditions):
+        conditions += (Condition("fence", 254, False),)  # who may not send is not preferred
     routers = []
     for said in vrrp.router:
         setting = Setting(
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -466,12 +466,17 @@
     it = duo()
     moves = len(it.switch.moves)
     old = list(it.to[1].heard)
+    begun, sent = it.to[1].passed, 0
     until = time.monotonic() + 1.0
     while time.monotonic() < until:
         for raw in old:
             it.to[1].inject(raw)
         it.to[1].inject(os.urandom(80))
+        it.to[0].inject(os.urandom(80))  # to the Active, many times the usual
+        sent += 1
         time.sleep(0.0002)
+    # 20 are due in a second: delayed by half an interval each, 13 would come.
+    assert sent > 1000 and it.to[1].passed - begun >= 13
     routers = it.status(1)["routers"]
     assert routers[0]["state"] == "Backup" and len(it.switch.moves) == moves
     it.relays[1].process.send_signal(signal.SIGTERM)
