Store: shared frames stay within what is read back; checkpoints close the file before them

Cause: batches that wait together share a frame, which was closed only once it had passed 16 KiB: small batches before a large one made a frame longer than store.batch_bytes allows the reader, and a restart took acknowledged records for damage ('unreadable', seen with batch 8 KiB). Each checkpoint left the file of the one before open, each failed piece of background work its own: 10 descriptors in 10 checkpoints.

Change: a frame is closed before the batch that would make it longer than one batch may be.

--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -181,6 +181,7 @@
         self._row = 0  # syncs that failed, one after another
         self._committing = self._compacting = self._checkpointing = False
         self._reserved = False
+        self._base_file: File | None = None  # of the checkpoint
         if not read_only:
             directory.lock()
         self._checkpoints = checkpoints  # False: they are not looked at
@@ -202,7 +203,7 @@
             raise StoreError(f"{self.directory.path}: holds {foreign[0]}, which is not of a store")
         if read_only or len(store_id) != 8:
             raise StoreError(f"{self.directory.path}: no store here")
-        self._place(STORE_FILE, pack_store(store_id))
+        self._place(STORE_FILE, pack_store(store_id)).close()
         return store_id
 
     def _load(self, name: str) -> bytes:
@@ -563,10 +564,11 @@
         places: list[Place] = []
         ops: list[Op] = []
         size = 0
+        most = min(FRAME_BYTES, self.limits.batch)  # no longer than one batch may be: that is what is read back
         for place, (batch, length, _) in enumerate(group):
             ops += batch
             size += length
-            if size < FRAME_BYTES and place + 1 < len(group):
+            if place + 1 < len(group) and size + group[place + 1][1] <= most:
                 continue
             data, link = frame(seed, link, seq, active.durable, now, payload(ops))
             raw.append(data)
@@ -803,6 +805,8 @@
                 self.state.settle(key, place)
                 if number % PAGE == PAGE - 1:
                     yield PAGE * 32
+                    if self.state.base is not base:
+                        break  # a new checkpoint has left them out, and the old one's file is closed
             self.settled = True
         after: bytes | None = b""
         while after is not None:
@@ -832,6 +836,7 @@
             self.store,
             self.state.next_seq if not self.state.snapshots else 1,
         )
+        output: Output | None = None
         try:
             output = Output(self, made)
             # What a snapshot has kept alive a deletion must go on hiding.
@@ -852,9 +857,7 @@
             self.stopped = f"damage was found: {problem}"
             self.count["background_errors"] += 1
         except OSError:
-            self.count["background_errors"] += 1
-            with contextlib.suppress(OSError):
-                self.directory.remove(made.name + TEMPORARY)
+            self._discard(made.name, output.file if output else None)
         finally:
             self._compacting = False
 
@@ -949,6 +952,7 @@
         )
         state.freeze()
         name = f"{summary.next_seq:020d}.idx"
+        file: File | None = None
         try:
             writer, size = Writer(self.store), 0
             file = self.directory.create(name + TEMPORARY)
@@ -968,6 +972,8 @@
                 raise problem
             old = self.recovered.checkpoint
             state.rebase(base)
+            if self._base_file is not None:
+                self._base_file.close()
             self._base_file, self.recovered.checkpoint = file, name
             self.count["checkpoints"] += 1
             self.count["checkpoint_bytes"] += size
@@ -975,13 +981,19 @@
                 with contextlib.suppress(OSError):
                     self.directory.remove(old)
         except (OSError, Damaged):
-            self.count["background_errors"] += 1
-            with contextlib.suppress(OSError):
-                self.directory.remove(name + TEMPORARY)
+            self._discard(name, file)
         finally:
             state.thaw()
             self._checkpointing = False
 
+    def _discard(self, name: str, file: File | None) -> None:
+        """Background work came to nothing: its unfinished file goes."""
+        self.count["background_errors"] += 1
+        if file is not None:
+            file.close()
+        with contextlib.suppress(OSError):
+            self.directory.remove(name + TEMPORARY)
+
     def _durable_link(self) -> int:
         """The link that the next frame behind the last safe byte has. With a commit under way that is not the
         one of what is being written."""
@@ -1070,8 +1082,9 @@
         for _, _, done in self.pending:
             done(plan.ReadOnly(self.stopped or "closed"))
         self.pending = []
-        for file in self.files.values():
-            file.close()
+        for file in (*self.files.values(), self._base_file):
+            if file is not None:
+                file.close()
         self.stopped = self.stopped or "closed"
         self.directory.close()
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """The store on a disk in memory: what is safe, what is found after a crash, and what is refused."""
 
 import errno
+import os
 import random
 from dataclasses import replace
 
@@ -11,6 +12,7 @@
 
 from loftroute.lab.disk import Disk, DiskDirectory, PowerLost
 from loftroute.lab.store_trial import SMALL, Trial, trials
+from loftroute.runtime.files import RealDirectory
 from loftroute.store.engine import RESERVE, Engine, Sync, drive
 from loftroute.store.plan import (
     Busy,
@@ -592,3 +594,32 @@
     assert b"gone" not in state(again, space)
     drive(again.compact(Run(0, len(again.sealed) - 1, "test"), 0))
     assert sum(s.deletions for s in again.sealed) == 0 and b"gone" not in state(again, space)
+
+
+def test_batches_that_share_a_frame_never_make_it_longer_than_what_is_read_back():
+    """Small batches that wait before a large one: all that was acknowledged is there after a crash."""
+    disk, limits = Disk(random.Random(3)), replace(PLAIN, batch=8192, value=7000, pending=1 << 20, segment=1 << 20, total=4 << 20)
+    engine, space = start(disk, limits)
+    told, wanted = [], {}
+    for n in range(60):
+        value = bytes([n]) * (7000 if n % 8 == 7 else 300)
+        wanted[b"k%d" % n] = value
+        engine.submit([Op(PUT, space, b"k%d" % n, value)], told.append)
+    drive(engine.commit(1))
+    assert told == [None] * 60 and state(engine, space) == wanted
+    assert state(start(disk.crash(), limits)[0], space) == wanted
+
+
+def test_checkpoints_and_compactions_leave_no_descriptor_open(tmp_path):
+    engine = Engine(RealDirectory(tmp_path / "s", create=True), replace(PLAIN, checkpoint_keys=1 << 30), ID)
+    space = engine.space("s")
+    counts = []
+    for n in range(120):
+        put(engine, space, b"k%d" % (n % 5), b"x" * 100)
+        if n % 10 == 9:
+            drive(engine.checkpoint(n))
+            if run := engine.compaction_due():
+                drive(engine.compact(run, n))
+            counts.append(len(os.listdir("/proc/self/fd")) - len(engine.files))
+    assert engine.count["checkpoints"] == 12 and counts[-1] == counts[1]
+    engine.close()
