Store and recall: one driver of steps, one way to wait, the safe link as state; dead pieces out

The loop that drives a generator of steps stood in the engine and in the actor; waiting for a request's one answer stood twice in the keeper; Done was declared three times; the link behind the last safe byte was found again by walking the whole active segment at each checkpoint, in one step of the hub; the read limit was written out eight times; Layers, Job.ended, Side.promised and the export of file_id were used by nobody.

Change: drive takes who makes the calls; _wait serves both kinds of joining; Active keeps safe_link as it keeps durable; _frame_limit; the unused goes.

--- a/loftroute/pair/fence.py
+++ b/loftroute/pair/fence.py
@@ -253,7 +253,6 @@
     claims: dict[int, tuple[str, bytes]] = field(default_factory=dict)
     number: int = 0
     persisting: Standing | None = None
-    promised: bool = False  # an operator's order is under way
     complete: bool = False  # rejoining: the peer has all, also what was granted alone until then
     undoable: bool = False  # rejoining: the witness was not yet told
 
@@ -422,7 +421,7 @@
         """Safe on disk: acted on only now."""
         if standing != self.persisting:
             return []
-        before, self.standing, self.persisting, self.promised = self.standing, standing, None, False
+        before, self.standing, self.persisting = self.standing, standing, None
         actions: list[Action] = []
         if (
             self.rejoining
@@ -511,7 +510,6 @@
             return [Refusal("this relay is alone already")]
         if self.standing.mode is Mode.NEW:
             return [Refusal("this relay's store is new: it knows nothing of what was sent")]
-        self.promised = True
         return self._ask(now, alone=True, order=True)
 
 
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -50,6 +50,7 @@
 from loftroute.runtime.scheduler import MS, Scheduler, Task
 from loftroute.runtime.stream import Closed, Expired, Listener, Stream
 from loftroute.store.actor import Store
+from loftroute.store.engine import Done
 from loftroute.store.plan import Refused
 from loftroute.store.records import PUT, Op, StoreError
 from loftroute.vrrp.envelope import Keys
@@ -59,7 +60,6 @@
 # Times patience: so long a side that could not store a record takes no connection, so that the other asks.
 SHY = 10
 UNSENT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
-Done = Callable[[StoreError | None], None]
 
 
 class Records(Protocol):
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -22,6 +22,7 @@
 from loftroute.runtime.clock import stamp
 from loftroute.runtime.scheduler import MS, Scheduler, Timer
 from loftroute.store.actor import Store
+from loftroute.store.engine import Done
 from loftroute.store.plan import Refused
 from loftroute.store.records import PUT, Op, StoreError
 
@@ -179,14 +180,20 @@
     def _wait_elsewhere(self, waiting: list[Joined], job: Job, ticket: Ticket, waited: int) -> None:
         """The other relay has it open: its outcome comes here, or the call ends at its own deadline."""
         self.count["joined elsewhere"] += 1
-        one = self._joining(job, ticket, waited)
+        self._wait(waiting, job, ticket, waited)
+
+    def _wait(self, waiting: list[Joined], job: Job, ticket: Ticket, waited: int) -> None:
+        """Stand among those that wait for one answer, to the call's own deadline at the latest."""
+        left = min(job.left, self._config.settings.classes[job.cls].deadline) - waited
+        deadline = self._scheduler.clock.now() + max(left - self._config.transport.spare, MS)
+        one = Joined(job, ticket, deadline)
 
         def late() -> None:
             if one in waiting:
                 waiting.remove(one)
                 one.ticket.failed()
 
-        one.timer = self._scheduler.at(one.deadline, late)
+        one.timer = self._scheduler.at(deadline, late)
         waiting.append(one)
 
     def _come_back(self, name: str) -> None:
@@ -206,24 +213,13 @@
         waiting.job.left = max(waiting.deadline - self._scheduler.clock.now(), MS)
         self.asked(waiting.job, waiting.ticket, 0)
 
-    def _joining(self, job: Job, ticket: Ticket, waited: int) -> Joined:
-        left = min(job.left, self._config.settings.classes[job.cls].deadline) - waited
-        return Joined(job, ticket, self._scheduler.clock.now() + max(left - self._config.transport.spare, MS))
-
     def _join(self, live: Live, job: Job, ticket: Ticket, waited: int) -> None:
         """It waits for the one answer, or fails at its own deadline."""
         if len(live.joined) >= self._joined or job.cls != live.job.cls or job.key != live.job.key:
             self.count["not joined"] += 1
             return ticket.failed()
         self.count["joined"] += 1
-        waiting = self._joining(job, ticket, waited)
-        waiting.timer = self._scheduler.at(waiting.deadline, lambda: self._give_up(live, waiting))
-        live.joined.append(waiting)
-
-    def _give_up(self, live: Live, waiting: Joined) -> None:
-        if waiting in live.joined:
-            live.joined.remove(waiting)
-            waiting.ticket.failed()
+        self._wait(live.joined, job, ticket, waited)
 
     # ---- answers
 
@@ -231,7 +227,7 @@
         live.told = True
         self._done(live)
 
-    def tell(self, live: Live, how: "Telling") -> None:
+    def tell(self, live: Live, how: Callable[[Ticket], None]) -> None:
         """Give the answer to all that joined."""
         joined, live.joined = live.joined, []
         for waiting in joined:
@@ -278,13 +274,11 @@
         assert live is not None
         call, now = self._config.settings.classes[job.cls], stamp(self._store.boot)
         target, known = self._listed.place(attempt.server), live.known
+        live.out += 1
+        live.before[attempt.number] = known
         if known and known.fate is Fate.MAY and not decisions.allowed(call, known, target, now, self._rules):
             self.count["kept from other groups"] += 1
-            live.out += 1
-            live.before[attempt.number] = known
             return attempt.finish(Answer(i.Outcome.MOOT))
-        live.out += 1
-        live.before[attempt.number] = known
         live.known = decisions.intent(known, call.name, job.key, target, now)
         self._write(job.id, live.known, lambda problem: self._safe(live, attempt, problem))
 
@@ -338,7 +332,7 @@
         if live.told:
             self._done(live)
 
-    def _write(self, name: str, memory: Memory, done: "Done") -> None:
+    def _write(self, name: str, memory: Memory, done: Done) -> None:
         """Write a record down; until it is safe, calls go by it all the same."""
         waiting = self._unsafe.get(name, (memory, 0))[1]
 
@@ -369,7 +363,7 @@
             return True
         return name in self._live or not decisions.newer(claimed, known)
 
-    def mirror(self, name: str, record: bytes, claimed: bool, done: "Done") -> None:
+    def mirror(self, name: str, record: bytes, claimed: bool, done: Done) -> None:
         """Keep what the other relay knows, where that is more than what is known here."""
         try:
             told, known = decisions.unpack(record), self._known(name)
@@ -392,11 +386,3 @@
             yield key.decode(), value
         for name, (memory, _) in list(self._unsafe.items()):
             yield name, memory.pack()
-
-
-class Telling(Protocol):
-    def __call__(self, ticket: Ticket) -> None: ...
-
-
-class Done(Protocol):
-    def __call__(self, problem: StoreError | None) -> None: ...
--- a/loftroute/runtime/background.py
+++ b/loftroute/runtime/background.py
@@ -5,7 +5,7 @@
 and busy time a second. While the relay lags, jobs stand back, but none longer than `starve`.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 SECOND = 1_000_000_000  # nanoseconds
@@ -29,7 +29,6 @@
     name: str
     weight: int
     steps: Iterator[object]
-    ended: Callable[[Exception | None], None] = lambda _: None
     passed: float = 0.0
     stepped_at: int = 0
     cancelled: bool = False
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
 import msgpack
 from loguru import logger
@@ -13,7 +14,7 @@
 from loftroute.runtime.files import Directory, RealDirectory
 from loftroute.runtime.scheduler import MS, Scheduler
 from loftroute.runtime.worker import Worker
-from loftroute.store.engine import Done, Engine, Steps, Sync
+from loftroute.store.engine import Done, Engine, Steps, Sync, drive
 from loftroute.store.plan import Limits, ReadOnly
 from loftroute.store.records import PUT, Op
 from loftroute.store.time import resume
@@ -122,23 +123,14 @@
     def _commit(self) -> None:
         while not self.ended:
             if self.engine.pending:
-                self._drive(self.engine.commit(self.now))
+                drive(self.engine.commit(self.now), partial(self._sync, self._commits))
                 continue
             if self._wanted:  # all is written: say so behind it
                 self._wanted = False
-                self._drive(self.engine.commit(self.now))
+                drive(self.engine.commit(self.now), partial(self._sync, self._commits))
                 continue
             self.scheduler.park()
 
-    def _drive(self, steps: Steps) -> None:
-        answer: Exception | None = None
-        with contextlib.suppress(StopIteration):
-            while True:
-                step = steps.send(answer)
-                answer = None
-                if isinstance(step, Sync):
-                    answer = self._sync(self._commits, step)
-
     def _sync(self, worker: Worker, step: Sync) -> Exception | None:
         """A sync that does not end in time counts as failed: what it covers is given up."""
         problem = worker.run(step.call, self.scheduler.clock.now() + self._timeout)
--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -36,7 +36,6 @@
     Op,
     Record,
     StoreError,
-    file_id,
     frame,
     header,
     pack_store,
@@ -97,7 +96,8 @@
     header: Header
     end: int
     durable: int
-    link: int
+    link: int  # of the next frame
+    safe_link: int  # of the one behind the last safe byte
     marked: bool = True  # its last frame tells how much of it is safe
     spoilt: bool = False  # nothing more is written to it
 
@@ -117,18 +117,22 @@
     names: list[str] = field(default_factory=list)
 
 
-def drive(steps: Steps) -> None:
-    """Make all calls on the spot."""
+def on_the_spot(step: Sync) -> Exception | None:
+    """Make a call here and now; the error that ended it, or None."""
+    try:
+        step.call()
+    except OSError as problem:
+        return problem
+    return None
+
+
+def drive(steps: Steps, sync: Callable[[Sync], Exception | None] = on_the_spot) -> None:
+    """Take all steps; `sync` makes the calls and gives their errors."""
     answer: Exception | None = None
     with contextlib.suppress(StopIteration):
         while True:
             step = steps.send(answer)
-            answer = None
-            if isinstance(step, Sync):
-                try:
-                    step.call()
-                except OSError as problem:
-                    answer = problem
+            answer = sync(step) if isinstance(step, Sync) else None
 
 
 class Engine:
@@ -348,10 +352,10 @@
         start, seq, link = HEADER_SIZE, found.base + 1, found.seed
         if covered and found.id == covered.position[0]:
             start, seq, link = covered.position[1], covered.next_seq, covered.position[2]
-        frames, end = plan.walk(data, found, self.limits.batch + 4096, start, seq, link)
+        frames, end = plan.walk(data, found, self._frame_limit, start, seq, link)
         try:
             if last:
-                plan.torn(data, end, found, self.limits.batch + 4096)
+                plan.torn(data, end, found, self._frame_limit)
             else:
                 plan.whole(found, frames, end, size)
         except Damaged:
@@ -421,7 +425,7 @@
         file = self._place(made.name, b"".join(raw))
         self.files[made.id] = file
         state.segments[made.id] = Segment(made, at)
-        self.active = Active(file, made, at, at, link, marked=False)
+        self.active = Active(file, made, at, at, link, link, marked=False)
         self._sealed_bytes = sum(s.size for s in self.sealed)
         self._apply(made, copied, None)
         state.time(now)
@@ -442,6 +446,11 @@
             self.spaces[name] = number
         return self.spaces[name]
 
+    @property
+    def _frame_limit(self) -> int:
+        """Bytes of the longest payload that is taken for a frame's."""
+        return self.limits.batch + 4096
+
     @property
     def used(self) -> int:
         """Bytes that the log takes up, with what waits to be written."""
@@ -550,7 +559,7 @@
             active.end = before
             return (yield from self._give_up(unsafe))
         self._row = 0
-        active.durable, active.marked = at, False
+        active.durable, active.safe_link, active.marked = at, link, False
         state.segments[active.header.id].size = at
         self._group_safe(group, places)
         return None
@@ -564,7 +573,7 @@
         places: list[Place] = []
         ops: list[Op] = []
         size = 0
-        most = min(FRAME_BYTES, self.limits.batch)  # no longer than one batch may be: that is what is read back
+        most = min(FRAME_BYTES, self.limits.batch)  # as long as one batch may be: that is what is read back
         for place, (batch, length, _) in enumerate(group):
             ops += batch
             size += length
@@ -641,7 +650,7 @@
         self._sealed_bytes += segment.size
         self.files[made.id] = file
         self.state.segments[made.id] = Segment(made, HEADER_SIZE)
-        self.active = Active(file, made, HEADER_SIZE, HEADER_SIZE, made.seed)
+        self.active = Active(file, made, HEADER_SIZE, HEADER_SIZE, made.seed, made.seed)
         return None
 
     # ---- reading
@@ -654,7 +663,7 @@
         file = self.files[place.file]
         segment = self.state.segments[place.file].header
         raw = file.read(place.offset, place.length)
-        found = parse(raw, 0, place.offset, segment.seed, self.limits.batch + 4096)
+        found = parse(raw, 0, place.offset, segment.seed, self._frame_limit)
         if found is None:
             self.stopped = self.stopped or f"damage was found: {segment.name} at offset {place.offset}"
             raise Damaged(segment.name, place.offset, "unreadable")
@@ -771,7 +780,7 @@
         if cursor and cursor[0] == found.id:
             _, start, link, seq = cursor
         raw = self.files[found.id].read(start, segment.size - start)
-        return plan.walk_from(raw, found, self.limits.batch + 4096, start, seq, link)
+        return plan.walk_from(raw, found, self._frame_limit, start, seq, link)
 
     def _held(self) -> int:
         """The place in the chain from which on followers need the files as they are; those that hold too much
@@ -889,7 +898,7 @@
 
     def _read_on(self, segment: Segment) -> Iterator[Frame]:
         """The frames of a sealed segment, read a part at a time; `Damaged` where it is not whole."""
-        found, limit = segment.header, self.limits.batch + 4096
+        found, limit = segment.header, self._frame_limit
         at, link, seq = HEADER_SIZE, found.seed, found.base + 1
         last: Frame | None = None
         while at < segment.size:
@@ -946,7 +955,7 @@
         summary = Summary(
             state.next_seq,
             state.time(now),
-            (active.header.id, active.durable, self._durable_link()),
+            (active.header.id, active.durable, active.safe_link),
             {n: (s.size, s.live, s.deletions) for n, s in state.segments.items()},
             {space: (keys, size) for space, (keys, size) in state.usage.items()},
         )
@@ -994,24 +1003,6 @@
         with contextlib.suppress(OSError):
             self.directory.remove(name + TEMPORARY)
 
-    def _durable_link(self) -> int:
-        """The link that the next frame behind the last safe byte has. With a commit under way that is not the
-        one of what is being written."""
-        active = self.active
-        assert active is not None
-        if active.durable == active.end:
-            return active.link
-        data = active.file.read(0, active.durable)
-        frames, _ = plan.walk(
-            data,
-            active.header,
-            self.limits.batch + 4096,
-            HEADER_SIZE,
-            active.header.base + 1,
-            active.header.seed,
-        )
-        return frames[-1].crc if frames else active.header.seed
-
     def _extend(self, file: File, size: int, raw: bytes) -> int:
         self.write_reserved(file, size, raw)
         return size + len(raw)
@@ -1172,4 +1163,4 @@
         key, place = next(above, (None, None))
 
 
-__all__ = ["Change", "Engine", "Follower", "Recovered", "Sync", "drive", "file_id"]
+__all__ = ["Change", "Engine", "Follower", "Recovered", "Sync", "drive"]
--- a/loftroute/store/state.py
+++ b/loftroute/store/state.py
@@ -29,10 +29,6 @@
     def scan(self, after: bytes) -> Iterator[tuple[bytes, Location]]: ...
 
 
-class Layers(Protocol):
-    def lookup(self, key: bytes) -> Location | None: ...
-
-
 @dataclass(slots=True, eq=False)
 class Segment:
     """A file of the log: how much of it is what."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -598,7 +598,8 @@
 
 def test_batches_that_share_a_frame_never_make_it_longer_than_what_is_read_back():
     """Small batches that wait before a large one: all that was acknowledged is there after a crash."""
-    disk, limits = Disk(random.Random(3)), replace(PLAIN, batch=8192, value=7000, pending=1 << 20, segment=1 << 20, total=4 << 20)
+    disk = Disk(random.Random(3))
+    limits = replace(PLAIN, batch=8192, value=7000, pending=1 << 20, segment=1 << 20, total=4 << 20)
     engine, space = start(disk, limits)
     told, wanted = [], {}
     for n in range(60):
