Units: kept connections as long as settings tell, newcomers warmed by traffic alone

Tested: 40 relays with 15 requests a second each meet each of 60 units every 4 s, and an idle connection was closed after 3 s, so nearly every attempt dialled; and each of 180 units that came was warmed by three connections from each relay (up to 21600 of the 30779). At fault: config._transport, min(idle * 2 // 3, base.idle) with no reason for the 3 s; units.Unit.warm, three connections whatever the traffic. Change: kept for two thirds of what the settings tell; warmed by no more connections than an average unit has attempts out, once the whole list is known. Both tests fail without the change.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -215,7 +215,7 @@
 
     dial_timeout: int = 250_000_000
     gather: int = 1_000_000  # the sockets are not looked at more often than this
-    idle: int = 3_000_000_000  # an idle connection to an unit is closed then
+    idle: int = 3_000_000_000  # an idle connection to an unit is closed then, where the settings tell no time
     rests_seen: int = 8  # connections used again after like rests before anything is held against these
     rests_break: float = 0.1  # share that breaks, beyond twice that of new connections
     rests_kept: int = 10_000_000_000  # ... and for how long
@@ -243,7 +243,7 @@
     program: int = 24 << 20  # memory that the program itself takes; the rest bounds the requests open
     pauses: int = 4  # failures in a row after which that pause is whole; after the first there is none
     rest: int = 20_000_000  # a full door is looked at again after so long
-    warm: int = 3  # connections to a unit that is new in the list, before it is sent anything
+    warm: int = 3  # most connections to a unit that is new in the list, before it is sent anything
     quiet_after: int = 50_000_000  # a client that said nothing for so long may be closed to make room
     mailbox: int = 1 << 16
     report_every: int = 10_000_000_000  # between two lines on how the relay is
@@ -390,6 +390,6 @@
     idle = ceilings.whole("conn_idle", 0)
     return Transport(
         dial_timeout=ceilings.whole("dial_timeout", 0) or base.dial_timeout,
-        idle=min(idle * 2 // 3, base.idle) if idle else base.idle,
+        idle=idle * 2 // 3 or base.idle,
         call_timeout=release.whole("answer_wait", 0) or base.call_timeout,
     )
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -266,8 +266,10 @@
             attempt.finish(NEVER_RAN)
 
     def warm(self) -> None:
-        """Have some connections before the first attempts come, which else would all wait for theirs."""
-        for _ in range(self.pool.transport.warm):
+        """Have some connections before the first attempts come, which else would all wait for theirs: no more
+        than an average unit has attempts out. Many relays that each meet a unit seldom would else bring it
+        connections that nobody uses, and pay for all of them."""
+        for _ in range(min(self.pool.transport.warm, self.pool.out() // len(self.pool.units))):
             if self.address and len(self.connections) < self.pool.share() and self.pool.room():
                 Connection(self, None)
 
@@ -360,6 +362,7 @@
         if listing.event.kind in (i.ListKind.FULL, i.ListKind.CACHED):
             for server in self.units.keys() - {entry.server for entry in listing.event.entries}:
                 self.units.pop(server).end()
+        new = []
         for entry in listing.event.entries:
             unit = self.units.get(entry.server)
             if entry.state is i.ServerState.GONE:
@@ -372,9 +375,11 @@
             unit.entry = entry
             unit.move(listing.addresses.get(entry.server))
             if fresh and entry.state is i.ServerState.READY:
-                unit.warm()
+                new.append(unit)
             if entry.state is not i.ServerState.READY:
                 unit.retire()
+        for unit in new:  # once all are known that the traffic is spread over
+            unit.warm()
 
     def shut(self, build: int) -> None:
         """The cap of a build fell: no dial that was begun under the old one goes on."""
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from loftroute import config
 from loftroute.config import Transport
 from loftroute.decision import interface as i
 from loftroute.protocol import jobs
@@ -161,3 +162,30 @@
         for rest in (None, 5 * MS, 300 * MS, 2 * SECOND):
             rests.ended(rest, n % 7 == 0, 0)
     assert rests.limit == Transport().idle
+
+
+def told(units: int, out: int) -> Units:
+    """A pool whose units are new in the list, with so many attempts out at others."""
+    scheduler = Scheduler(Clock(), Bench._failed)
+    pool = Units(scheduler, Transport(), 200, ())
+    pool.out = lambda: out  # type: ignore[method-assign]
+    entries = tuple(i.ServerEntry(n, 0, 0, 0, 1, i.ServerState.READY, 0, 1.0) for n in range(units))
+    pool.listed(Listing(i.ServerList(i.ListKind.FULL, 1, entries),
+                        {n: Address("127.0.0.1", 9) for n in range(units)}))
+    return pool
+
+
+def test_a_fleet_of_relays_with_thin_traffic_brings_a_new_unit_no_connection_before_an_attempt():
+    # 40 relays that each warmed three connections to each of 60 units made 7200 handshakes for nothing
+    assert sum(told(60, out=3).open for _ in range(40)) == 0
+    assert told(10, out=48).open >= 27  # where each unit has five attempts out, newcomers are met by three
+
+
+def test_an_idle_connection_is_kept_for_two_thirds_of_what_the_settings_tell():
+    """A relay that meets a unit every four seconds would else dial for each attempt."""
+    def idle(**ceilings):
+        return config._transport(config.Section({"ceilings": ceilings})).idle
+
+    assert idle(conn_idle=30 * SECOND) == 20 * SECOND
+    assert idle(conn_idle=300 * MS) == 200 * MS
+    assert idle() == Transport().idle
