Votes: calls shared among instances whose votes do not stand yet; a fleet in simulated time

Tested: by settings 75 votes must stand at once, 16 calls a second are taken, a vote lives 6 s. With the chance calls/instances for each, (188 - S) x 16/188 come a second, so that S = 61 to 67 stand: under 75 for ever. Ruled out: refusals by the platform (none), late news, alarms (one). At fault: policy._vote, the chance; _wanted, a wait of 1 s before votes that need 5 s to come together. Change: the calls are shared among those whose votes cannot stand yet, with the burst of the first second; the wait is shorter by the time that the votes take.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -154,6 +154,7 @@
         vote_life=raw.whole("ballot_ttl", 0),
         call_timeout=raw.whole("answer_wait", 0),
         calls_per_s=raw.number("calls_per_s", 0.0),
+        ayes=raw.whole("ayes_needed", 0),
         push_period=raw.whole("repeat_every", 0),
         tally_period=raw.whole("tally_every", 0),
         behind_price=raw.number("behind_price", 0.0),
--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -102,6 +102,7 @@
     vote_life: int
     call_timeout: int
     calls_per_s: float
+    ayes: int  # votes on that must stand at once
     push_period: int
     tally_period: int
     behind_price: float
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -513,22 +513,29 @@
         if all(s.ejected_until for s in trial):
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
-        ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= WAIT)
+        # A large fleet's votes take longer to come together than the wait, and may be taken back meanwhile.
+        wait = WAIT - int(SECOND * self.rel.ayes / max(self.rel.calls_per_s, 1.0))
+        ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= wait)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
     def _vote(self) -> None:
-        """A decided instance sends its vote each second until it stands, by a chance within the calls."""
+        """A decided instance sends its vote each second until it stands, by a chance within the calls, which
+        those share whose votes do not stand yet: else no more than a third of a large fleet ever stands."""
         news, ballot, wanted = self.news, self.ballot, self._wanted()
         if ballot and ballot.pending and self.now - ballot.sent <= self.rel.call_timeout + SECOND:
             return
         stands = ballot and self.now < ballot.until and ballot.verdict != Verdict.NONE
         if wanted is Verdict.NONE and not (stands and ballot.verdict == Verdict.HOLD):
+            self.decided = 0
             return
+        self.decided = self.decided or self.now
         same = stands and (ballot.stage, ballot.build, ballot.verdict) == (news.stage, news.build, wanted)
         if (same and ballot.until - self.now > RENEW_BEFORE * self.rel.vote_life) or (
                 self.now - self.drawn < SECOND):
             return
-        self.drawn = self.now
-        if self.random.random() < min(1.0, self.rel.calls_per_s / self.cfg.instances):
+        self.drawn, calls = self.now, self.rel.calls_per_s
+        others = calls * min(self.now - self.decided, self.rel.vote_life) / SECOND  # as many stand by now
+        burst = 1 + (self.now - self.decided < SECOND)  # that the platform takes at first
+        if self.random.random() * max(self.cfg.instances - others, 1.0) < burst * calls:
             self.ballot = Ballot(news.stage, news.build, wanted, self.now)
             self._do(i.Vote(news.stage, news.build, wanted))
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -166,6 +166,7 @@
     alarm: bool = False
     ballot: Ballot | None = None
     drawn: int = 0
+    decided: int = 0  # since when it would vote as it does now
     due: int = 0
     stall: int = 0
     awake: int = 0
