Votes: the wait is shorter only by what the votes take beyond the first burst

At fault: policy._wanted, the wait less ayes / calls, which is the whole second where the votes come with the first burst. Change: less only what exceeds the burst of twice the calls; 188 relays wait 0 s as before, 40 wait 1 s again. The test fails without the change.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -514,7 +514,7 @@
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
         # A large fleet's votes take longer to come together than the wait, and may be taken back meanwhile.
-        wait = WAIT - int(SECOND * self.rel.ayes / max(self.rel.calls_per_s, 1.0))
+        wait = WAIT - int(SECOND * max(self.rel.ayes / max(self.rel.calls_per_s, 1.0) - 2, 0))  # the burst
         ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= wait)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,3 +35,16 @@
         take(now, n, vote) if fleet.random.random() < 0.6 else i.Outcome.FULL)
     fleet.run(25 * SECOND)
     assert fleet.platform.state.stage >= 1
+
+
+def test_votes_that_the_first_burst_can_bring_together_wait_for_outcomes_as_ever():
+    """Sixteen votes come at once: sent before a second's outcomes, they released builds unseen."""
+    votes = {"family_info__ayes_needed": 16, "family_info__to_abort": 6}
+    fleet = Fleet(40, 20, 1, rate=400.0, **{**LARGE, **votes})
+    fleet.run(3 * SECOND)
+    fleet.offer(2, 2)
+    offered = fleet.now
+    fleet.run(2 * SECOND - SECOND // 50)  # the bake, and a second after it
+    assert not fleet.platform.votes and fleet.platform.state.stage == 0
+    fleet.run(3 * SECOND)
+    assert fleet.platform.state.stage >= 1 and fleet.now - offered < 5 * SECOND
