Store test: what earlier tests left behind is collected before descriptors are counted

Seen: one run of the suite over 8 workers failed: 54 descriptors at the end, 56 at the first count, fewer and not more. Not traced further: sockets of earlier tests in the same worker, collected in between, would give that; the store opens none. Change: the garbage is collected before counting. The bound itself is unchanged.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """The store on a disk in memory: what is safe, what is found after a crash, and what is refused."""
 
 import errno
+import gc
 import os
 import random
 from dataclasses import replace
@@ -612,6 +613,7 @@
 
 
 def test_checkpoints_and_compactions_leave_no_descriptor_open(tmp_path):
+    gc.collect()  # sockets that earlier tests of this worker left behind would be closed in between
     engine = Engine(RealDirectory(tmp_path / "s", create=True), replace(PLAIN, checkpoint_keys=1 << 30), ID)
     space = engine.space("s")
     counts = []
