--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -166,7 +166,7 @@
     alarm: bool = False
     ballot: Ballot | None = None
     drawn: int = 0
-    decided: int = 0  # since when it would vote as it does now
+    decided: int = 0  # since when it has had a vote to send, whichever
     due: int = 0
     stall: int = 0
     awake: int = 0
--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -31,7 +31,6 @@
     paused_until: int = 0
     gone: bool = False  # no connection comes up
     free: list[int] = field(default_factory=list)  # when each core is free
-    attempts: int = 0
 
     def ready_at(self, now: int, work: float, cold: int, cold_share: float) -> int:
         """When an attempt of so much work is done, begun once a core is free."""
@@ -107,11 +106,9 @@
         self.settings, self.random = config.settings(raw), Random(seed)
         self.now, self.rate, self.work = 10 * SECOND, rate, work
         self.platform = Platform(raw)
-        self.platform.since = 0
         self.units = {n: Unit(self._entry(n, 1, 0)) for n in range(1, units + 1)}
         self.finals: dict[str, list[str]] = defaultdict(list)  # how each request ended
         self.attempts: Counter[tuple[int, int]] = Counter()  # by unit and second
-        self.asked: Counter[int] = Counter()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count(1)
         self.relays = [Balancer(replace(self.settings, me=n, zone=n % 2), seed * 1000 + n)
@@ -188,7 +185,6 @@
 
     def ask(self, n: int, cls: int = 0) -> str:
         name, rule = f"{next(self._ids):016x}", self.settings.classes[cls]
-        self.asked[n] += 1
         self.finals[name]
         work = int(self.work * self.random.uniform(0.5, 1.5))
         self.hand(n, i.RequestArrived(name, None, 0, cls, work, rule.deadline, False, False))
@@ -219,7 +215,6 @@
         unit, request = self.units[action.server], self.relays[n].requests[action.request]
         number, outcome = len(request.attempts) - 1, i.Outcome.OK
         self.attempts[action.server, self.now // SECOND] += 1
-        unit.attempts += 1
         done = unit.ready_at(self.now, request.work, self.settings.cold, self.settings.cold_share) + MS
         if unit.gone:
             done, outcome = self.now + MS, i.Outcome.CONNECT_FAILED
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,7 +32,7 @@
     fleet.offer(2, 2)
     take = fleet.platform.vote
     fleet.platform.vote = lambda now, n, vote: (
-        take(now, n, vote) if fleet.random.random() < 0.6 else i.Outcome.FULL)
+        take(now, n, vote) if fleet.random.random() < 0.4 else i.Outcome.FULL)
     fleet.run(25 * SECOND)
     assert fleet.platform.state.stage >= 1
 
