Units: attempts out are counted once a list, not once for each new unit

Seen on a second reading: Unit.warm went over all connections of all units for each unit that came, units times units at a start. Change: Units._warm counts once for all newcomers of a list and says how many each gets. Behaviour is unchanged: warming adds connections without attempts, so the count was the same for each.

--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -265,11 +265,9 @@
             self.waiting.remove(attempt)
             attempt.finish(NEVER_RAN)
 
-    def warm(self) -> None:
-        """Have some connections before the first attempts come, which else would all wait for theirs: no more
-        than an average unit has attempts out. Many relays that each meet a unit seldom would else bring it
-        connections that nobody uses, and pay for all of them."""
-        for _ in range(min(self.pool.transport.warm, self.pool.out() // len(self.pool.units))):
+    def warm(self, most: int) -> None:
+        """Have some connections before the first attempts come, which else would all wait for theirs."""
+        for _ in range(most):
             if self.address and len(self.connections) < self.pool.share() and self.pool.room():
                 Connection(self, None)
 
@@ -378,8 +376,15 @@
                 new.append(unit)
             if entry.state is not i.ServerState.READY:
                 unit.retire()
-        for unit in new:  # once all are known that the traffic is spread over
-            unit.warm()
+        if new:  # once all are known that the traffic is spread over
+            self._warm(new)
+
+    def _warm(self, new: list[Unit]) -> None:
+        """No more connections to a newcomer than an average unit has attempts out. Many relays that each meet
+        a unit seldom would else bring it connections that nobody uses, and pay for all of them."""
+        most = min(self.transport.warm, self.out() // len(self.units))
+        for unit in new:
+            unit.warm(most)
 
     def shut(self, build: int) -> None:
         """The cap of a build fell: no dial that was begun under the old one goes on."""
