--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -155,6 +155,7 @@
         call_timeout=raw.whole("answer_wait", 0),
         calls_per_s=raw.number("calls_per_s", 0.0),
         ayes=raw.whole("ayes_needed", 0),
+        nays=raw.whole("to_abort", 1),
         push_period=raw.whole("repeat_every", 0),
         tally_period=raw.whole("tally_every", 0),
         behind_price=raw.number("behind_price", 0.0),
--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -103,6 +103,7 @@
     call_timeout: int
     calls_per_s: float
     ayes: int  # votes on that must stand at once
+    nays: int  # votes back that send a build back
     push_period: int
     tally_period: int
     behind_price: float
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -21,7 +21,8 @@
 # What is scanned (all bad, errors, resets, answers slower for their work than most of the prefix), with its
 # multiplier beside an earlier build that answers now and without one; the Note's 2^{3/2} was not made small.
 SCANS = {"bad": (2.0, 2.0), "errors": (1.22, 1.22), "resets": (1.22, 1.22), "slow": (2.4, inf)}
-SAMPLE, WAIT, RENEW_BEFORE = 20, SECOND, 0.3  # trial outcomes for going on, or time; share of a vote's life
+SAMPLE, RENEW_BEFORE = 20, 0.3  # trial outcomes for going on; share of a vote's life
+WAIT, UNSEEN = SECOND, 3 * SECOND  # ... or so long, and with less than a scan starts from
 PEERLESS, PEERS, PEER_AGE = 8, 1024, 2 * SECOND  # earlier-build outcomes that tell its fault from the fleet's
 
 # Learnt pace (time for the work): steps, the zone's weight in answers, left each tick, out of favour beyond.
@@ -53,8 +54,10 @@
 class Scan:
     """Algorithm 3 behind a prefix: prefix sums, doubling windows, a threshold that grows with log t."""
 
-    def __init__(self, kind: str, kept: list[Seen]) -> None:
+    def __init__(self, kind: str, kept: list[Seen], nays: int = 1, instances: int = 1) -> None:
         self.kind, self.rare, prefix = kind, RARE.get(kind, 0), kept[-PREFIX:]
+        # Where a build goes back by so many votes at once, they prove it together, whichever they are of all.
+        self.nays, self.choice = nays, 1 + log(max(instances / nays, 1.0))
         self.beside, self.alone = SCANS[kind]
         self.level = sorted(o[3] for o in prefix)[len(prefix) * 7 // 8] if prefix else inf
         self.sums = [0, *accumulate(map(self.read, prefix))]  # the latest
@@ -81,7 +84,8 @@
             self.bad.append((t, server))
         if t < SCAN_FROM or not self.last:
             return
-        bound = log(t / ALPHA) * ((self.beside if beside else self.alone) * self.sigma) ** 2
+        nats = min(log(t / ALPHA), log(t / ALPHA) / self.nays + self.choice)
+        bound = nats * ((self.beside if beside else self.alone) * self.sigma) ** 2
         for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - (not self.rare)):
             k = sums[-1] - sums[-1 - (w := 1 << j)]  # in the window, above 0
             stat = odd(k, self.rate * w) if self.rare else (
@@ -112,7 +116,7 @@
         self.stay = self.calm = sum(self.usual[:1])
         self.answered, self.ghosts = WindowSum(SECOND), WindowSum(2 * SECOND)
         self.tenants = [WindowSum(2 * SECOND) for _ in settings.quotas]
-        self.scans = [Scan(kind, []) for kind in SCANS]
+        self.scans = self._scans([])
         self._split()
         self.on = {i.Started: self._start, i.ServerList: self._list, i.RequestArrived: self._arrive,
                    i.AttemptEnded: self._ended, i.ClientGone: self.forget, i.TimerFired: self._timer,
@@ -450,6 +454,10 @@
 
     # ---- the release judge
 
+    def _scans(self, kept: list[Seen]) -> list[Scan]:
+        nays = max(self.rel.nays, 1) if self.rel.control is i.Control.SHARE else 1
+        return [Scan(kind, kept, nays, self.cfg.instances) for kind in SCANS]
+
     def _judge(self, attempt: Attempt, bad: int, hard: int, pace: float) -> None:
         news, build, seen = self.news, attempt.entry.build, (self.now, bad, hard, pace)
         if attempt.warm and not (news and build == news.build and news.phase not in JUDGED):
@@ -460,11 +468,14 @@
         # A crowd that came with the build and stays is held against it, whatever the earlier build does.
         long = self.easy_at >= self.build_since and self.now - self.easy_at > LONG
         since = self.now - PEER_AGE * (news.phase == Phase.TRIAL)  # once released, the earlier build leaves
+        if news.phase == Phase.TRIAL and len(earlier) >= PEERLESS:  # few a second: since it was offered
+            since = min(since, max(earlier[-PEERLESS][0] - 1, self.build_since))
         beside = not long and len(earlier) >= PEERLESS and earlier[-PEERLESS][0] > since
         calm = long or self.wait < EASY * self.cfg.classes[0].aim
 
         def look(scan: Scan) -> tuple[int, list[int]]:
             many = sum(s.entry.build == build and s.warmth >= 1.0 for s in self.ready)
+            many = min(many, scan.seen)  # no more of them can have been met
             faulty = any(s.fail_rate > FAULTY for s in self.ready if s.entry.build < build)
             return (max(3, 1 + many // 2) if faulty else min(many, 2 + many // 6),
                     [scan.read(o) for o in earlier if o[0] > since and not long])
@@ -490,7 +501,11 @@
         self._split()
         if old is None or (old.build, old.stage, old.phase) != (news.build, news.stage, news.phase):
             self.stage_since = self.now - news.age
-            fresh = [Scan(kind, list(self.earlier(news.build))) for kind in SCANS]
+            if old and old.phase in JUDGED:
+                read = ", ".join(f"{len(scan.bad)} {scan.kind} of {scan.seen}" for scan in self.scans)
+                kept = len(self.earlier(old.build))
+                self._do(i.Log(f"build {old.build} leaves stage {old.stage}: {read}, {kept} of the earlier"))
+            fresh = self._scans(list(self.earlier(news.build)))
             if old and old.build == news.build:
                 # Slowness goes on from stage to stage: later ones leave the earlier build idler than it was.
                 fresh = [a if a.kind == "slow" else b for a, b in zip(self.scans, fresh, strict=True)]
@@ -513,8 +528,8 @@
         if all(s.ejected_until for s in trial):
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
-        # A large fleet's votes take longer to come together than the wait, and may be taken back meanwhile.
-        wait = WAIT - int(SECOND * max(self.rel.ayes / max(self.rel.calls_per_s, 1.0) - 2, 0))  # the burst
+        # Who has seen next to nothing lets those go first who have: 40% of a large fleet need no look at all.
+        wait = WAIT if self.scans[0].seen >= SCAN_FROM else UNSEEN
         ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= wait)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -9,6 +9,7 @@
 
 from loftroute.decision import policy
 from loftroute.decision.policy import Scan
+from loftroute.decision.state import Attempt
 from tests.harness import MS, Relay, setup
 
 bits = st.lists(st.integers(0, 1), max_size=64)
@@ -183,3 +184,34 @@
     kept = relay.instance
     assert len(kept.servers) <= 10 and len(kept.outcomes) <= 6 and len(kept.tokens) <= 6
     assert len(kept.forward) <= 12
+
+
+def thin(earlier: int, slow: bool = False, units: int = 60) -> Relay:
+    """A relay with three answers a second that has met ten of 60 units of the build on trial, which fail
+    every other answer, or are slower than all before. Of 200 that judge, 30 send a build back."""
+    relay = Relay(setup(instances=200, family_info__to_abort=30, family_info__decided_by="by_count"))
+    relay.fleet(units)
+    relay.news(phase=2, stage=2, cap=1.0, build=1)
+    relay.serve(12, gap=333 * MS)
+    relay.fleet(units, units)
+    relay.news(cap=1.0, stage=1)
+    instance = relay.instance
+    for n in range(earlier):
+        relay.wait(333 * MS)
+        instance._judge(Attempt(instance.servers[n + 1].entry, relay.now, True, 0.0), 0, 0, 1.2)
+    for n in range(101, 111):
+        relay.wait(33 * MS)
+        bad, pace = (0, 9.0) if slow else (n % 2, 1.2)
+        instance._judge(Attempt(instance.servers[n].entry, relay.now, True, 0.0), bad, bad, pace)
+    return relay
+
+
+def test_a_relay_that_has_met_few_units_is_asked_for_failures_at_few_of_them():
+    """One in six of 60 listed units were 12 failing ones, of a relay that had met 10 (mass days: 19)."""
+    assert thin(12).instance.alarm
+
+
+def test_slowness_is_read_beside_the_earlier_build_at_three_answers_a_second_too():
+    """Eight answers of it in two seconds never come there: the build counted as one without peers."""
+    assert thin(12, slow=True).instance.alarm
+    assert not thin(4, slow=True).instance.alarm  # with so few there is nothing to compare it with
