Judge: 3 s without outcomes only where several votes send a build back

At fault: policy._wanted, the longer wait where others' ignorance costs little. Change: it acts from two votes on.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -529,7 +529,7 @@
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
         # Who has seen next to nothing lets those go first who have: 40% of a large fleet need no look at all.
-        wait = WAIT if self.scans[0].seen >= SCAN_FROM else UNSEEN
+        wait = WAIT if self.scans[0].seen >= SCAN_FROM or self.scans[0].nays < 2 else UNSEEN
         ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= wait)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
