Judge: silence is an outcome where builds are judged together

A slow build stands at 60% of places from 14.75 s on and half is late, yet the first alarm comes at 18 s and 33 votes never come together: 6.3 of 8.0 judged outcomes a relay were slow, while 288 and 728 time-outs in 5 s each show nowhere in the scans. At fault: policy._silence and _learn: a time-out of a unit that has not been heard since waits for that unit to be heard again, and is dropped when the unit is set aside. A relay with 3 requests a second meets it once. Change: where several votes send a build back, silence that sets a unit aside, and a time-out, are outcomes at once, of either build. The test with a build 5 times slower fails without it.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -116,6 +116,7 @@
         self.stay = self.calm = sum(self.usual[:1])
         self.answered, self.ghosts = WindowSum(SECOND), WindowSum(2 * SECOND)
         self.tenants = [WindowSum(2 * SECOND) for _ in settings.quotas]
+        self.nays = max(self.rel.nays, 1) if self.rel.control is i.Control.SHARE else 1  # send a build back
         self.scans = self._scans([])
         self._split()
         self.on = {i.Started: self._start, i.ServerList: self._list, i.RequestArrived: self._arrive,
@@ -437,17 +438,21 @@
             self.noise += 0.01 * ((outcome in BAD) - self.noise)
             late = request is not None and took > request.aim_at - request.arrived
             # A silent server is no fault of its build: a time-out counts once the server is heard again.
-            if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent:
+            if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent and self.nays < 2:
                 server.doubts += not server.ejected_until
-            else:
+            elif not attempt.judged:
                 self._judge(attempt, int(outcome in BAD or late), hard and HARD.index(outcome) + 1, ratio)
 
     def _silence(self) -> None:
-        """Sets aside a server that answers nothing while attempts are out: silent, stopped or cut off."""
+        """Sets aside a server that answers nothing while attempts are out: silent, stopped or cut off. Where
+        builds are judged together, that is an outcome: who meets a server once does not hear it again."""
         for server in self.servers.values():
             oldest = next(iter(server.out.values()), None)
             if server.listed and oldest and not server.ejected_until and server.quiet(self.now) > max(
                     SILENT, SILENT_PACE * self.pace * oldest.work):
+                if self.nays > 1 and not oldest.judged:
+                    self._judge(oldest, 1, 0, (self.now - oldest.sent) / max(oldest.work, 1.0))
+                    oldest.judged = True
                 server.doubts, length = 0, min(EJECT_FOR << min(server.ejections, 5), EJECT_MAX)
                 server.ejected_until, server.ejections = self.now + length, server.ejections + 1
                 self._do(i.Log(f"server {server.entry.server} set aside {length // MS} ms, no answer"))
@@ -455,8 +460,7 @@
     # ---- the release judge
 
     def _scans(self, kept: list[Seen]) -> list[Scan]:
-        nays = max(self.rel.nays, 1) if self.rel.control is i.Control.SHARE else 1
-        return [Scan(kind, kept, nays, self.cfg.instances) for kind in SCANS]
+        return [Scan(kind, kept, self.nays, self.cfg.instances) for kind in SCANS]
 
     def _judge(self, attempt: Attempt, bad: int, hard: int, pace: float) -> None:
         news, build, seen = self.news, attempt.entry.build, (self.now, bad, hard, pace)
@@ -529,7 +533,7 @@
             return Verdict.NONE
         baked = self.now - max(self.stage_since, *(s.started for s in trial)) - self.rel.bake
         # Who has seen next to nothing lets those go first who have: 40% of a large fleet need no look at all.
-        wait = WAIT if self.scans[0].seen >= SCAN_FROM or self.scans[0].nays < 2 else UNSEEN
+        wait = WAIT if self.scans[0].seen >= SCAN_FROM or self.nays < 2 else UNSEEN
         ripe = baked >= 0 and (self.scans[0].seen >= SAMPLE or min(baked, self.now - self.awake) >= wait)
         return Verdict.ON if ripe and not doubt else Verdict.NONE
 
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -69,6 +69,7 @@
     warm: bool
     work: float
     outcome: Outcome | None = None
+    judged: bool = False  # its silence was held against its build already
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -63,7 +63,7 @@
     return fleet
 
 
-BAD = {"slow": {"slow": 2.5}, "failing": {"fails": 0.25},
+BAD = {"slow": {"slow": 2.5}, "silent for its slowness": {"slow": 5.0}, "failing": {"fails": 0.25},
        "slow and failing after a while": {"slow": 2.5, "fails": 0.15, "sound": 4 * SECOND}}
 
 
@@ -71,7 +71,8 @@
 def test_a_bad_build_that_each_relay_meets_a_few_times_goes_back_before_it_is_released(kind):
     """One outcome a relay in the first two stages: each waited a second, voted on and released it unseen.
     Proof was asked of each as if it judged alone, at one server in six of those listed, and slowness was read
-    only beside eight answers of the earlier build in two seconds, which such a relay never gets."""
+    only beside eight answers of the earlier build in two seconds, which such a relay never gets. Five times
+    slower, units were set aside as silent, and silence blamed no build until that unit was heard again."""
     fleet = thin(120, 1, **BAD[kind])
     phases = [phase for _, phase, _ in fleet.moves]
     assert i.Phase.GOING_BACK in phases and i.Phase.RELEASED not in phases
