--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,5 +1,11 @@
 """What changes with size: many instances, many servers, and instances that stand still."""
 
+import json
+
+import pytest
+
+from loftroute.protocol import ProtocolError
+from loftroute.protocol.catalog import Catalog
 from tests.harness import MS, SECOND, Relay, named, setup
 
 
@@ -150,3 +156,23 @@
     actions = relay.answer(ref, "ConnectError")
     assert not named(actions, "FORWARD") and not named(actions, "FINISH_ERROR")
     assert named(relay.wait(3 * SECOND), "NOT_NOW")
+
+
+def test_lists_of_well_over_a_thousand_units_and_relays_are_taken_whole():
+    """The users play about 230 relays and hundreds of units; nothing may stop short of 1,024 of either."""
+    units = 1100
+    listed = {"instances": [
+        {"instanceId": f"u{n}", "hostPort": f"127.0.0.1:{1024 + n}", "lifecycle": "SERVING", "zone": "a",
+         "release": 1, "cell": 0} for n in range(units)], "generation": 1, "reset": True}
+    catalog = Catalog({"a": 0}, {})
+    listing = catalog.read(json.dumps(listed, indent=1).encode())
+    assert len(listing.addresses) == units
+    relay = Relay(setup(instances=1100, family_info__to_abort=165, family_info__decided_by="by_count"))
+    relay.instance.handle(relay.now, listing.event)
+    assert len(relay.instance.ready) == units
+    used = {relay.open[ref, 0] for ref in (relay.ask()[0] for _ in range(400))}
+    assert len(used) > 250  # two random choices of all of them
+    listed["instances"].append(dict(listed["instances"][0]))
+    with pytest.raises(ProtocolError, match="twice"):
+        catalog.read(json.dumps(listed).encode())
+    assert len(catalog.numbers) == units
