Judge: the scan's logarithm is taken once, and the comment on silence says when it holds

Seen on a second reading: Scan.add took log(t / ALPHA) twice for each scanned outcome, on the hot path; the comment in _learn told of silence as it is only where one vote sends a build back. Behaviour is unchanged: the same figures in the same order.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -84,7 +84,8 @@
             self.bad.append((t, server))
         if t < SCAN_FROM or not self.last:
             return
-        nats = min(log(t / ALPHA), log(t / ALPHA) / self.nays + self.choice)
+        nats = log(t / ALPHA)  # of one that judges alone
+        nats = min(nats, nats / self.nays + self.choice)
         bound = nats * ((self.beside if beside else self.alone) * self.sigma) ** 2
         for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - (not self.rare)):
             k = sums[-1] - sums[-1 - (w := 1 << j)]  # in the window, above 0
@@ -437,7 +438,8 @@
             server.fail_rate += 0.1 * ((outcome in BAD) - server.fail_rate)
             self.noise += 0.01 * ((outcome in BAD) - self.noise)
             late = request is not None and took > request.aim_at - request.arrived
-            # A silent server is no fault of its build: a time-out counts once the server is heard again.
+            # Where one vote sends a build back, a silent server is no fault of it: a time-out counts once
+            # the server is heard again. Where several do, it counts at once, or did when it was set aside.
             if outcome is Outcome.TIMEOUT and server.heard <= attempt.sent and self.nays < 2:
                 server.doubts += not server.ejected_until
             elif not attempt.judged:
