Runtime: tasks that a relay can't do without begin anew after a fault, told and counted

Seen while reading the hub: a Task whose body raises ends for good (`Task._body` tells it and leaves). For a client or a unit's connection that is right; for the listener, the changes, the module's mailbox, votes, the list, SIGTERM's and SIGHUP's own tasks it is the silent end of that part of the relay while the process lives on. `Module._watch_deadlines` armed its timer last, so that one fault in it (in debug each broken invariant) ended the watch over all deadlines.

Lines at fault: Scheduler.spawn for standing tasks; Module._watch_deadlines. Change: `standing` begins such a task anew after 100 ms; the timer is armed first. `tests/stepped.py` plays a whole relay on real loopback sockets turn by turn with a clock that the test moves: what is made ready before a turn is ready at once.

--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -20,7 +20,7 @@
 from loftroute.relay.platform import Changes, Votes
 from loftroute.relay.units import Units
 from loftroute.runtime.clock import Clock
-from loftroute.runtime.scheduler import MS, Scheduler
+from loftroute.runtime.scheduler import MS, Scheduler, Ticks, standing
 
 
 class Part(Protocol):
@@ -33,9 +33,9 @@
 class Relay:
     """One relay, from its start to its end."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, clock: Ticks | None = None) -> None:
         self.config = config
-        self.scheduler = Scheduler(Clock(), self._failed, gather=config.transport.gather)
+        self.scheduler = Scheduler(clock or Clock(), self._failed, gather=config.transport.gather)
         self.units = Units(
             self.scheduler, config.transport, config.budget.units, config.settings.report_fields)
         self.balancer = Balancer(config.settings, config.seed)
@@ -48,13 +48,17 @@
         self.reloads = 0
         self.parts: list[Part] = []  # of the product, beside the platform's relay
 
+    def start(self) -> None:
+        """All actors stand; `run` then turns the hub."""
+        self._guard = standing(self.scheduler, "lifecycle", self._live)
+        self._reloader = standing(self.scheduler, "reload", self._reload)
+        self._begin()
+
     def run(self) -> None:
-        self._guard = self.scheduler.spawn("lifecycle", self._live)
-        self._reloader = self.scheduler.spawn("reload", self._reload)
+        self.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._asked_to_end)
         signal.signal(signal.SIGHUP, self._asked_to_reload)
-        self._begin()
         gc.collect()
         gc.freeze()  # what lives for good is not looked through again
         gc.set_threshold(50_000, 20, 100)
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -164,12 +164,12 @@
     def _watch_deadlines(self) -> None:
         """The module owes an answer by each deadline. A client gets one all the same."""
         late = self._scheduler.clock.now() - self._transport.overdue_after
+        self._scheduler.at(late + 3 * self._transport.overdue_after // 2, self._watch_deadlines)
         for held in [held for held in self.open.values() if held.deadline < late]:
             invariants.holds(False, "every request is answered by its deadline")
             self._close(held.job.id)
             held.ticket.failed()
             self.mailbox.put(i.ClientGone(held.job.id))
-        self._scheduler.at(late + 3 * self._transport.overdue_after // 2, self._watch_deadlines)
 
     def _ended(self, attempt: Attempt, result: Answer) -> None:
         job, outcome = attempt.job, result.outcome
--- a/loftroute/relay/platform.py
+++ b/loftroute/relay/platform.py
@@ -7,7 +7,7 @@
 from loftroute.protocol import ProtocolError, http1, pipeline
 from loftroute.protocol.catalog import Address
 from loftroute.relay.module import Module
-from loftroute.runtime.scheduler import Mailbox, Scheduler, Task, actor
+from loftroute.runtime.scheduler import Mailbox, Scheduler, Task, actor, standing
 from loftroute.runtime.stream import Closed, Expired, Stream
 
 
@@ -26,7 +26,7 @@
 
     def start(self) -> None:
         address = self._address
-        self._tasks.append(self._scheduler.spawn("changes", lambda: self._run(address)))
+        self._tasks.append(standing(self._scheduler, "changes", lambda: self._run(address)))
 
     def move(self, address: Address) -> None:
         if address != self._address:
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -284,7 +284,21 @@
         return True
 
 
+def standing(scheduler: Scheduler, name: str, run: Callable[[], None], pause: int = 100 * MS) -> Task:
+    """A task that the relay can't do without: where it fails it is told, and begun anew after a pause."""
+
+    def again_and_again() -> None:
+        while True:
+            try:
+                return run()
+            except Exception as problem:
+                scheduler.failed(name, problem)
+            scheduler.sleep(pause)
+
+    return scheduler.spawn(name, again_and_again)
+
+
 def actor(scheduler: Scheduler, name: str, mailbox: Mailbox[Any], run: Callable[[], None]) -> Task:
-    """A task that is woken by its mailbox."""
-    mailbox.owner = scheduler.spawn(name, run)
+    """A standing task that is woken by its mailbox."""
+    mailbox.owner = standing(scheduler, name, run)
     return mailbox.owner
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from loftroute.lab.standins import Relay
+from tests.stepped import Unit, Whole
 
 
 @pytest.fixture
@@ -16,3 +17,18 @@
     yield make
     for one in made:
         one.stop()
+
+
+@pytest.fixture
+def world():
+    """Makes whole relays in this process (`tests/stepped.py`)."""
+    made = []
+
+    def make(units=1, backlog=64, buffer=None, limits=None, **changes):
+        named = {f"u{n}": Unit(backlog, buffer) for n in range(units)}
+        made.append(Whole(named, limits, **changes))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.stop()
