Units: an attempt's last byte goes out while units know its key, or it is not sent

Seen while reading retries line by line: the module checked the repeat window of a keyed request when it chose (`_allowed`, now >= first.sent + window - tick), and then the attempt dialled for up to 250 ms, waited for a connection as long, and wrote for as long as `until` allowed. An attempt counts once its last byte has come, so a repeat chosen in the window's last quarter of a second could run a second time. Three more of the kind: - `Connection._words` noted the attempt as written before its first byte: a request half written to a unit that reads slowly was then finished though its client had gone, since it passed for sent. - `_give_up` refused a keyed request of group `all` that may have run at any time. A refusal says that a repeat is harmless; after the window, or with a come-again time that reaches beyond it, it is not. - beyond the window a request was held with nowhere to go until its deadline, instead of being answered.

Change: the module sends with each attempt how long its last byte may take (`Send.within`); dial, queue and write all end then (`Attempt.send_by`), and close on a part, which never runs. An attempt is written once its last byte is out. `_known_until` is the one place that says how long a key is known.

--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -255,9 +255,12 @@
 
 @dataclass(slots=True, unsafe_hash=True)
 class Send:
+    """An attempt. Its last byte has to be out `within` so long, 0 where only the time-out bounds that."""
+
     request: str
     server: int
     timeout: int
+    within: int = 0
 
 
 @dataclass(slots=True, unsafe_hash=True)
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -42,11 +42,20 @@
 SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
 JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+COURSE = (*JUDGED, Phase.GOING_BACK, Phase.WITHDRAWN)
 HARD, RARE = (Outcome.ERROR, Outcome.RESET), {"errors": 1, "resets": 2}  # tuples: compared by identity
 BAD, REFUSED = (*HARD, Outcome.TIMEOUT), (*HARD, Outcome.FULL, Outcome.CONNECT_FAILED)
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
 
 
+def stand(news: i.ReleaseNews) -> tuple[int, int, int]:  # builds, and the states of each, only go forward
+    return news.build, COURSE.index(news.phase), 0 if news.phase else news.stage
+
+
+def ran(request: Request) -> Attempt | None:  # the first attempt that may have run, or may yet
+    return next((a for a in request.attempts if a.outcome not in NEVER_RAN), None)
+
+
 def odd(k: float, e: float) -> float:  # Chernoff's bound, in nats, on k rare events where e are usual
     return k * log(k / e) - k + e if k > e else 0.0
 
@@ -227,15 +236,13 @@
 
     def _allowed(self, request: Request) -> list[Server]:
         """The servers at which the rules allow an attempt of this request now."""
-        first = next((a for a in request.attempts if a.outcome not in NEVER_RAN), None)
+        first = ran(request)
         least = self.forward.get(request.key, 0) if self.news and self.news.phase in JUDGED else 0
         builds = [b for b in self.builds  # keys only go forward, until the build goes back
                   if b >= least and (b not in self.trials or self._exposed(b, request.cls))]
         found = [s for s in self.ready if s.entry.build in builds and self._bears(s, request.work)]
         if first is None or request.rule.effect is not Effect.KEYED:
             return found
-        if self.now >= first.sent + request.rule.window - self.cfg.tick:
-            return []
         group, entry = request.rule.group, first.entry
         return [s for s in found if group is Group.ALL or (
             s.entry.zone == entry.zone if group is Group.ZONE else s.entry.cell == entry.cell)]
@@ -321,8 +328,14 @@
             s.entry.build not in self.trials or self._exposed(s.entry.build, request.cls)) and not (
             self.alarm and s.entry.build == self.news.build) and self._bears(s, request.work)
 
+    def _known_until(self, request: Request) -> float:
+        """When units begin to forget an idempotency key, counted from the first attempt that may have run."""
+        keyed = request.rule.effect is Effect.KEYED and ran(request)
+        return keyed.sent + request.rule.window - self.cfg.tick if keyed else inf
+
     def _place(self, request: Request) -> None:  # send it somewhere, hold it while there is hope, or end it
-        if self.now >= request.deadline - GIVE_UP_BEFORE or len(request.attempts) >= self.cfg.max_attempts:
+        ends = min(request.deadline - GIVE_UP_BEFORE, self._known_until(request))
+        if self.now >= ends or len(request.attempts) >= self.cfg.max_attempts:
             return self._give_up(request)
         on, crowd = self.random.random() < self.share, self.wait > EASY * request.rule.aim
         # Where answers are many a second, a look at the whole fleet for each request would cost too much.
@@ -354,13 +367,15 @@
         self.held.pop(request.id, None)
         entry = server.entry
         attempt = Attempt(entry, self.now, server.warmth >= 1.0 and not self._heaped(), request.work)
+        # A dial or a queue may end after the key's window: the bound goes with the attempt to its last byte.
+        within = 0 if (ends := self._known_until(request)) == inf else int(ends) - self.now
         server.out[request.id, len(request.attempts)] = attempt
         server.load += request.work
         server.sent.add(self.now, request.work)
         request.attempts.append(attempt)
         if entry.build in self.trials:
             self.tokens[entry.build, request.cls * self.rel.per_class] -= 1.0
-        self._do(i.Send(request.id, entry.server, self._time_out(request, server)))
+        self._do(i.Send(request.id, entry.server, self._time_out(request, server), within))
 
     def _time_out(self, request: Request, server: Server) -> int:
         """All the time that is left, unless another attempt may follow and still be in time for the aim."""
@@ -375,10 +390,11 @@
         """The final answer, at once: a refusal where the client may safely come again, else a failure."""
         self.held.pop(request.id, None)
         del self.requests[request.id]
-        ran = any(a.outcome not in NEVER_RAN for a in request.attempts)
+        wait = min(max(SECOND // 4, int(self.wait)), self.cfg.max_retry_after)
         effect, everywhere = request.rule.effect, request.rule.group is Group.ALL
-        if not ran or effect is Effect.SAFE or (effect is Effect.KEYED and everywhere):
-            wait = min(max(SECOND // 4, int(self.wait)), self.cfg.max_retry_after)
+        # Harmless is a repeat by the client only while units still know the key when it comes back.
+        known = effect is Effect.KEYED and everywhere and self.now + wait < self._known_until(request)
+        if not ran(request) or effect is Effect.SAFE or known:
             self._do(i.Refuse(request.id, wait if self.cfg.retry_after else 0))
         else:
             self._do(i.Fail(request.id))
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -203,7 +203,8 @@
         now, attempts = self._scheduler.clock.now(), held.attempts
         left = held.deadline - now
         until = now + (action.timeout if 0 < action.timeout < left else left)
-        attempt = Attempt(held.job, len(attempts), action.server, now, until, self._ended)
+        before = now + action.within if action.within else 0
+        attempt = Attempt(held.job, len(attempts), action.server, now, until, self._ended, before)
         alone = not (attempts and self._lone) or all(a.ended for a in attempts)
         attempts.append(attempt)
         if not (invariants.holds(alone, "one attempt of a request at a time") and left > 0
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -25,13 +25,19 @@
     number: int
     server: int
     sent: int
-    until: int
+    until: int  # when its answer is waited for no longer
     done: Callable[["Attempt", Answer], None]
+    before: int = 0  # its last byte goes out before then, or it is not sent; 0 where `until` alone bounds it
     connection: "Connection | None" = None
-    written: int = 0  # when it went out, if it did
+    written: int = 0  # when its last byte went out, if it did
     ended: bool = False
     cancelled: bool = False
 
+    @property
+    def send_by(self) -> int:
+        """Dial, queue and write all end by then: what the module allowed was allowed until then only."""
+        return min(self.before or self.until, self.until)
+
     def finish(self, result: Answer) -> None:
         if self.ended:
             invariants.holds(False, "an attempt ends once")
@@ -86,7 +92,7 @@
             raise Closed("nowhere to connect to")
         self._pool.dials += 1
         until = clock.now() + self._pool.transport.dial_timeout
-        until = min(until, attempt.until) if attempt else until
+        until = min(until, attempt.send_by) if attempt else until
         try:
             self._stream = Stream.dial(
                 self._scheduler, address, until, self._pool.transport.chunk, self._pool.transport.message)
@@ -103,16 +109,23 @@
         stream = self._stream
         try:
             if stream.unsent or not self._begun:
-                stream.send_all(() if self._begun else self._words(attempt), attempt.until)
+                self._send(stream, attempt)
         except (Closed, Expired):
             self._drop()
             self._finish(NEVER_RAN)
             return False
         return self._answer(stream, attempt)
 
+    def _send(self, stream: Stream, attempt: Attempt) -> None:
+        """Write to the last byte; what is late by then never ran, since its connection closes on a part."""
+        clock = self._scheduler.clock
+        if not self._begun and clock.now() >= attempt.send_by:
+            raise Expired
+        stream.send_all(() if self._begun else self._words(attempt), attempt.send_by)
+        attempt.written = clock.now()
+
     def _words(self, attempt: Attempt) -> list[resp.Piece]:
-        attempt.written = self._scheduler.clock.now()
-        return attempt.job.attempt(attempt.until - attempt.written)
+        return attempt.job.attempt(attempt.until - self._scheduler.clock.now())
 
     def _answer(self, stream: Stream, attempt: Attempt) -> bool:
         broke = clean = False
@@ -195,6 +208,7 @@
             self._begun = True
             stream.write(self._words(attempt))
             if not stream.unsent:
+                attempt.written = self._scheduler.clock.now()
                 return self._scheduler.put_off(self.task, attempt.until)
         self._scheduler.wake(self.task)
 
@@ -257,7 +271,7 @@
 
     def _patience(self, attempt: Attempt) -> int:
         """An attempt waits for a connection as long as a dial may take."""
-        return min(attempt.until, attempt.sent + self.pool.transport.dial_timeout)
+        return min(attempt.send_by, attempt.sent + self.pool.transport.dial_timeout)
 
     def _expire(self) -> None:
         now = self.pool.scheduler.clock.now()
--- /dev/null
+++ b/tests/test_crossings_units.py
@@ -0,0 +1,204 @@
+"""On the way to a unit, two events that cross (`docs/races.md`)."""
+
+import socket
+
+import pytest
+
+from loftroute.decision import interface as i
+from loftroute.lab.setup import setup
+from loftroute.relay.units import Attempt
+from tests.harness import Relay, named
+from tests.stepped import MS, SECOND, ask, got, reset, served, served_at, value
+
+
+def attempt_within(it, length, done):
+    """An attempt beside the module's, as it would send one whose last byte has to be out so soon."""
+    client = it.client()
+    client.sendall(ask("within", d=2900).replace(b"within", b"module"))
+    it.until(lambda: it.units["u0"].asks())
+    held = next(iter(it.relay.module.open.values()))
+    now = it.clock.now()
+    return Attempt(held.job, 1, 1, now, now + 2 * SECOND,
+                   lambda a, r: done.append((r.outcome, it.clock.now() - now)), now + length)
+
+
+def test_a_dial_that_comes_up_after_the_window_of_the_key_sends_nothing(world):
+    it, done = world(), []
+    late = attempt_within(it, 10 * MS, done)
+    it.relay.units.units[1]._assign(late)
+    it.turn(1)  # the dial has begun, and has come up by the next look
+    it.clock.time += 11 * MS
+    it.turn(4)
+    assert [outcome for outcome, _ in done] == [i.Outcome.CONNECT_FAILED] and it.units["u0"].asks() == 1
+
+
+def test_a_dial_that_has_come_up_is_not_written_to_once_the_window_has_ended(world):
+    it, done = world(), []
+    late = attempt_within(it, 10 * MS, done)
+    it.relay.units.units[1]._assign(late)
+    connection = late.connection
+    dial = connection._dial
+
+    def slowly():
+        dial()
+        it.clock.time += 11 * MS  # the process stood still between the two
+    connection._dial = slowly
+    it.turn(6)
+    assert [outcome for outcome, _ in done] == [i.Outcome.CONNECT_FAILED] and it.units["u0"].asks() == 1
+
+
+def test_a_dial_without_an_answer_ends_with_the_window_of_the_key(world):
+    it, done = world(backlog=0), []
+    late = attempt_within(it, 100 * MS, done)
+    unit = it.units["u0"]
+    fill = [socket.socket() for _ in range(4)]
+    unit.look = lambda reading=True: b""
+    for sock in fill:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    it.relay.units.units[1]._assign(late)
+    it.until(lambda: done or it.step(20, 1))
+    assert done[0][0] is i.Outcome.CONNECT_FAILED and done[0][1] < 150 * MS  # a dial may take 250
+    for sock in fill:
+        sock.close()
+
+
+def test_an_attempt_that_waits_for_a_connection_ends_with_the_window_of_the_key(world):
+    it, done = world(), []
+    late = attempt_within(it, 100 * MS, done)
+    it.relay.units.units[1].waiting.append(late)
+    it.scheduler.wake(it.relay.units.units[1].mailbox.owner)
+    it.until(lambda: done or it.step(20, 1))
+    assert done[0][0] is i.Outcome.CONNECT_FAILED and done[0][1] < 150 * MS
+
+
+def test_a_request_half_written_as_the_window_of_its_key_ends_is_not_finished(world):
+    it, done = world(buffer=4096), []
+    client, unit = it.client(), it.units["u0"]
+    client.sendall(ask("warm"))
+    served_at(it, b"warm")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(30)
+    idle = it.relay.units.units[1].idle.pop()
+    idle._stream._sock.setsockopt(1, 7, 4096)  # SO_SNDBUF
+    late = attempt_within(it, 100 * MS, done)
+    late.job.tail = memoryview(b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+    read, unit.look = unit.look, lambda reading=True: b""
+    idle.take(late)
+    assert idle._stream.unsent and not late.written
+    it.until(lambda: done or it.step(20, 1))
+    assert done[0][0] is i.Outcome.CONNECT_FAILED and done[0][1] < 150 * MS and not late.written
+    assert b"x" * 100 in read() and read().count(b"x") < 65000
+
+
+def test_the_window_of_a_key_is_told_to_the_attempt(world):
+    it = world(units=2, services=[{"name": "put", "effect": "keyed", "group": "all", "aim": 3 * SECOND,
+                                   "hard_limit": 4 * SECOND, "window": 500 * MS}])
+    client = it.client()
+    client.sendall(ask("mark", kind="put"))
+    unit = it.until(lambda: next((u for u in it.units.values() if u.asks()), None))
+    held = next(iter(it.relay.module.open.values()))
+    sent = it.clock.now()
+    it.clock.time += 100 * MS
+    peer = unit.asked(b"mark")
+    unit.peers.remove(peer)
+    reset(peer)
+    it.until(lambda: len(held.attempts) == 2)
+    assert held.attempts[0].before == 0
+    assert it.clock.now() < held.attempts[1].before <= sent + 500 * MS
+
+
+def test_the_window_of_a_key_goes_with_each_repeat_and_ends_them():
+    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": 3 * SECOND,
+                                   "hard_limit": 4 * SECOND, "window": 500 * MS}]))
+    relay.fleet(4)
+    sent = []
+
+    def look(event):
+        actions = relay.adapter._instances[relay.name].handle(relay.now, event)
+        sent.extend(a for a in actions if isinstance(a, i.Send))
+        return actions
+    look(i.RequestArrived("a" * 16, "k", 0, 0, 50 * MS, 4 * SECOND, False, False))
+    assert sent[0].within == 0  # nothing may have run before it
+    relay.now += 100 * MS
+    look(i.AttemptEnded("a" * 16, 0, sent[0].server, i.Outcome.RESET, 100 * MS, False, None))
+    assert sent[1].within == 500 * MS - 100 * MS - relay.instance.cfg.tick
+    relay.now += 450 * MS
+    given_up = look(i.AttemptEnded("a" * 16, 1, sent[1].server, i.Outcome.RESET, 100 * MS, False, None))
+    # At once, and no refusal: a client's repeat would run a second time.
+    assert [type(a) for a in given_up] == [i.Fail] and len(sent) == 2
+
+
+def test_a_refusal_says_that_a_repeat_is_harmless_only_while_the_key_is_known():
+    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": SECOND,
+                                   "hard_limit": 4 * SECOND, "window": 4 * SECOND}]))
+    relay.fleet(1)
+    ref, _ = relay.ask()
+    relay.now += 1100 * MS
+    assert named(relay.answer(ref, "ResetByPeer"), "NOT_NOW")
+    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": SECOND,
+                                   "hard_limit": 4 * SECOND, "window": 1200 * MS}]))
+    relay.fleet(1)
+    ref, _ = relay.ask()
+    relay.now += 1100 * MS
+    assert named(relay.answer(ref, "ResetByPeer"), "FINISH_ERROR")
+
+
+def test_an_answer_and_the_end_of_the_time_in_one_look_is_an_answer(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask(kind="pay"))
+    it.until(lambda: it.units["u0"].asks())
+    held = next(iter(it.relay.module.open.values()))
+    it.units["u0"].asked(b"Q.DO").sendall(served(b"V"))
+    it.clock.time = held.attempts[0].until
+    it.turn(2)
+    assert got(client) == value(b"V")
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_an_answer_that_breaks_off_at_any_byte_serves_nobody_and_runs_nothing_twice(world, how):
+    it = world(units=2)
+    whole = served(b"VALUE")
+    for cut in range(len(whole)):
+        client = it.client()
+        client.sendall(ask(f"cut{cut}", kind="pay"))
+        unit = it.until(lambda cut=cut: next(
+            (u for u in it.units.values() if any(b"cut%d\r" % cut in h for h in u.heard.values())), None))
+        peer = unit.asked(b"cut%d\r" % cut)
+        unit.heard[peer] = b""
+        peer.sendall(whole[:cut])
+        if how == "reset":
+            it.turn(2)
+            unit.peers.remove(peer)
+            reset(peer)
+        else:
+            peer.shutdown(1)
+        it.until(lambda c=client: got(c) == b"-ERR failed\r\n")
+        assert not any(b"cut%d\r" % cut in u.look() for u in it.units.values())
+        it.relay.balancer.retry_tokens = 20.0
+
+
+def test_an_answer_at_one_byte_a_time_is_served(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask())
+    it.until(lambda: it.units["u0"].asks())
+    peer = it.units["u0"].asked(b"Q.ASK")
+    for byte in served(b"VALUE"):
+        peer.sendall(bytes([byte]))
+        it.step(1, 1)
+    it.until(lambda: got(client) == value(b"VALUE"))
+
+
+def test_a_unit_that_closed_while_idle_costs_no_request_when_poll_has_not_told_of_it(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask("first"))
+    _, peer = served_at(it, b"first")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(50)
+    peer.shutdown(1)  # with the next request, before the relay looks
+    client.sendall(ask("second", kind="pay"))
+    served_at(it, b"second")
+    it.until(lambda: got(client) == value(b"V"))
