Units: a pooled connection serves again only what it was opened for, once it has settled

Change: the unit counts how often another process has come under its id (`epoch`); `Unit.rests` is the one place that keeps or refuses a connection; `unwritten` is what a drain, a lower cap and another process end. `settle` (25 ms) bounds "some milliseconds"; an attempt waits for a settling connection rather than dial.

Tried: each taken back on its own, one to five tests fail (settle: 3, epoch: 5, ended: 1, retire: 5, start: 2, half written: 1).

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -226,6 +226,7 @@
     watch_grace: int = 400_000_000  # ... and is given up when it is so much later
     life_within: int = 2_500_000_000  # the changes are given up after so long without a sign of life
     again_after: int = 200_000_000  # pause before what failed is tried again
+    settle: int = 25_000_000  # a connection is used again no sooner after its last answer
     close_grace: int = 15_000_000  # a closed attempt is reported so much later: by then its unit knows too
     spare: int = 10_000_000  # a client's time, less what the way to it and back may take
     overdue_after: int = 30_000_000  # past its deadline a request is ended whatever the module does
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -63,7 +63,8 @@
         if attempt:
             attempt.connection = self
         unit.connections.add(self)
-        self.dialling, self._begun = True, False
+        self.epoch = unit.epoch
+        self.dialling, self._begun, self._answered = True, False, False
         self._rests_since = self._scheduler.looked
         self._rest: int | None = None  # how long it had rested before its attempt; None where it is new
         unit.pool.open += 1
@@ -129,6 +130,7 @@
 
     def _answer(self, stream: Stream, attempt: Attempt) -> bool:
         broke = clean = False
+        self._answered = True
         try:
             result = answer(stream.receive(resp.reply, attempt.until), self._pool.report)
         except Expired:
@@ -156,7 +158,8 @@
         """Wait idle for the next attempt; False once the connection has ended or was idle for long."""
         self._begun, self._rests_since = False, self._scheduler.looked
         until = self._rests_since + self._pool.rests.limit
-        self._unit.rests(self)
+        if not self._unit.rests(self):
+            return False
         while self.attempt is None:
             self._stream.wait(until)
             if self.attempt is None and (self._stream.stale() or self._scheduler.clock.now() >= until):
@@ -187,10 +190,15 @@
             self._unit.lost(self)
 
     @property
-    def settled(self) -> bool:
-        """Whether the sockets were looked at since its last answer: a second copy of that, or noise behind
-        it, would else be read as the answer to the next request."""
-        return self.rest > 0
+    def unwritten(self) -> bool:
+        """Whether nothing whole of its attempt has gone out yet."""
+        return self.dialling or (self.attempt is not None and not self.attempt.written)
+
+    @property
+    def settles(self) -> int:
+        """From when it may be used again: a second copy of its last answer, or noise behind it, may come some
+        milliseconds late, and would else be read as the answer to the next request."""
+        return self._rests_since + (self._pool.transport.settle if self._answered else 0)
 
     @property
     def rest(self) -> int:
@@ -216,6 +224,12 @@
 Message = Attempt | str  # an attempt to make, or a command to the actor
 
 
+def _another(before: i.ServerEntry, now: i.ServerEntry) -> bool:
+    """Whether an id stands for another process than before. A start that is told no longer is long ago."""
+    place = (before.zone, before.cell, before.kind, before.build)
+    return place != (now.zone, now.cell, now.kind, now.build) or now.started > before.started
+
+
 class Unit:
     """The actor of one unit: which of its connections takes an attempt."""
 
@@ -226,6 +240,7 @@
         self.idle: deque[Connection] = deque()
         self.waiting: deque[Attempt] = deque()
         self.ended = False
+        self.epoch = 0  # how often another machine or process has come under this id
         self.connections: set[Connection] = set()
         self.mailbox: Mailbox[Message] = Mailbox(pool.scheduler, pool.transport.mailbox)
         actor(pool.scheduler, f"unit {server}", self.mailbox, self._run)
@@ -250,24 +265,30 @@
     def _look_again(self) -> int | None:
         if not self.waiting:
             return None
-        if self.idle:  # they settle in the next turn
-            return self.pool.scheduler.clock.now()
-        return min(map(self._patience, self.waiting))
+        looked = self.pool.scheduler.looked
+        settling = [connection.settles for connection in self.idle if connection.settles > looked]
+        return min([*map(self._patience, self.waiting), *settling])
 
     def settled(self) -> Connection | None:
         """The latest idle connection that is surely clean: the others may grow old and close."""
+        looked = self.pool.scheduler.looked  # what came before then was seen
         for connection in reversed(self.idle):
-            if connection.settled:
+            if connection.settles <= looked:
                 if connection.rest > self.pool.rests.limit:
                     return None  # it ends by itself, as do the older ones
                 self.idle.remove(connection)
                 return connection
         return None
 
-    def rests(self, connection: Connection) -> None:
+    def rests(self, connection: Connection) -> bool:
+        """Whether a connection that is free is kept. One that was out while the unit left the list, or while
+        another came under its id, leads to what the list no longer tells of."""
+        if self.ended or connection.epoch != self.epoch:
+            return False
         self.idle.append(connection)
         if self.waiting and self.mailbox.owner:
             self.pool.scheduler.wake(self.mailbox.owner)
+        return True
 
     def _patience(self, attempt: Attempt) -> int:
         """An attempt waits for a connection as long as a dial may take."""
@@ -303,7 +324,7 @@
             return connection.take(attempt)
         if self.address is None:
             return attempt.finish(NEVER_RAN)
-        few = len(self.idle) <= len(self.waiting)  # else one settles for it in the next turn
+        few = len(self.idle) <= len(self.waiting)  # else one settles for it soon
         if few and len(self.connections) < self.pool.share() and self.pool.room():
             Connection(self, attempt)
         else:
@@ -314,16 +335,24 @@
             self.idle.popleft().abort()
 
     def _stop_dials(self) -> None:
-        """A dial must not outlive what its attempt was allowed by; nothing was written, so it never ran."""
-        for connection in [c for c in self.connections if c.dialling]:
+        """A dial or a half written request must not outlive what its attempt was allowed by. Its last byte is
+        not out, so it never ran."""
+        for connection in [c for c in self.connections if c.unwritten]:
             connection.abort(NEVER_RAN)
         while self.waiting:
             self.waiting.popleft().finish(NEVER_RAN)
 
-    def move(self, address: Address | None) -> None:
-        if address and address != self.address:
+    def follow(self, entry: i.ServerEntry, address: Address | None) -> None:
+        """What the list says of it now. Where that is another machine or process, nothing that was opened to
+        the earlier one is used again, and what was not sent to it yet never ran."""
+        before, self.entry = self.entry, entry
+        moved = address is not None and address != self.address
+        other = before is not None and (moved or _another(before, entry))
+        if moved:
             self.address = address
-            self.mailbox.put("close idle")
+        if other:
+            self.epoch += 1
+            self.retire()
 
     def lost(self, connection: Connection) -> None:
         self.connections.discard(connection)
@@ -384,8 +413,7 @@
             if unit is None:
                 unit = self.units[entry.server] = Unit(self, entry.server)
             fresh = unit.address is None
-            unit.entry = entry
-            unit.move(listing.addresses.get(entry.server))
+            unit.follow(entry, listing.addresses.get(entry.server))
             if fresh and entry.state is i.ServerState.READY:
                 new.append(unit)
             if entry.state is not i.ServerState.READY:
--- a/tests/test_crossings_units.py
+++ b/tests/test_crossings_units.py
@@ -8,7 +8,7 @@
 from loftroute.lab.setup import setup
 from loftroute.relay.units import Attempt
 from tests.harness import Relay, named
-from tests.stepped import MS, SECOND, ask, got, reset, served, served_at, value
+from tests.stepped import MS, SECOND, Unit, ask, got, reset, served, served_at, value
 
 
 def attempt_within(it, length, done):
@@ -144,6 +144,23 @@
     assert named(relay.answer(ref, "ResetByPeer"), "FINISH_ERROR")
 
 
+@pytest.mark.parametrize("late", [1, 5, 20])
+def test_a_second_answer_some_milliseconds_late_is_not_the_next_ones(world, late):
+    it = world()
+    clients = [it.client(), it.client()]
+    clients[0].sendall(ask("first"))
+    _, peer = served_at(it, b"first", b"A")
+    it.until(lambda: got(clients[0]) == value(b"A"))
+    it.step(late)
+    clients[1].sendall(ask("second"))
+    it.turn(2)
+    peer.sendall(served(b"A"))
+    it.turn(2)
+    it.step(30)
+    served_at(it, b"second", b"B")
+    it.until(lambda: got(clients[1]) == value(b"B"))
+
+
 def test_an_answer_and_the_end_of_the_time_in_one_look_is_an_answer(world):
     it = world()
     client = it.client()
@@ -202,3 +219,110 @@
     client.sendall(ask("second", kind="pay"))
     served_at(it, b"second")
     it.until(lambda: got(client) == value(b"V"))
+
+
+@pytest.mark.parametrize("change", [
+    {"hostPort": "elsewhere"}, {"startedAtMs": 900_000}, {"release": 42}, {"cell": 5}, {"zone": "b"}])
+@pytest.mark.parametrize("when", ["idle", "out"])
+def test_an_id_that_stands_for_another_process_gets_no_request_on_an_old_connection(world, change, when):
+    """A connection that was pooled, or out with a request, as the list told of another machine or process."""
+    it = world(zones=["a", "b"], services=[{"name": "pay", "effect": "unsafe", "aim": 3 * SECOND,
+                                            "hard_limit": 3 * SECOND}])
+    client, unit, other = it.client(), it.units["u0"], Unit()
+    client.sendall(ask("first", kind="pay"))
+    it.until(lambda: unit.asks())
+    if when == "idle":
+        served_at(it, b"first")
+        it.until(lambda: got(client) == value(b"V"))
+        it.step(50)
+    listed = it.listed(generation=2)
+    listed["instances"][0].update(
+        {**change, **({"hostPort": other.address} if "hostPort" in change else {})})
+    old = set(unit.peers)
+    it.relay.module.listing(it.relay.config.catalog.listing(listed))
+    if when == "out":  # what was begun there is answered from there
+        served_at(it, b"first")
+        it.until(lambda: got(client) == value(b"V"))
+    it.step(50)
+    client.sendall(ask("second", kind="pay"))
+    it.until(lambda: any(b"second" in h for u in (unit, other) for h in (u.look(), *u.heard.values())))
+    came = other if "hostPort" in change else unit
+    assert any(b"second" in heard for peer, heard in came.heard.items() if peer not in old)
+    assert not any(b"second" in unit.heard[peer] for peer in old)
+    other.listener.close()
+
+
+def test_a_start_that_is_told_no_longer_costs_no_connection(world):
+    it = world()
+    started = it.listed(generation=2)
+    started["instances"][0]["startedAtMs"] = 900_000
+    it.relay.module.listing(it.relay.config.catalog.listing(started))
+    client = it.client()
+    client.sendall(ask("first"))
+    served_at(it, b"first")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(50)
+    dials = it.relay.units.dials
+    it.tell(generation=3)  # long ago
+    client.sendall(ask("second"))
+    served_at(it, b"second")
+    assert it.relay.units.dials == dials
+
+
+def test_a_connection_that_is_out_as_its_unit_leaves_the_list_is_closed_after_its_answer(world):
+    it = world(units=2)
+    clients = [it.client(), it.client()]
+    for n, client in enumerate(clients):
+        client.sendall(ask(f"key{n}"))
+    it.until(lambda: sum(unit.asks() for unit in it.units.values()) == 2)
+    it.tell(generation=2, whole=False, u0="DELETED")
+    for n, client in enumerate(clients):
+        served_at(it, b"key%d" % n)
+        it.until(lambda c=client: got(c) == value(b"V"))
+    it.step(50)
+    assert all(c.epoch == 0 and c in it.relay.units.units[2].connections
+               for u in it.relay.units.units.values() for c in u.connections)
+    assert it.relay.units.open == len(it.relay.units.units[2].connections)
+
+
+def test_a_dial_to_where_an_id_no_longer_is_ends_and_the_request_goes_where_it_is(world):
+    it = world(backlog=0)
+    unit, other = it.units["u0"], Unit()
+    fill = [socket.socket() for _ in range(4)]  # its queue is full: dials stay under way
+    for sock in fill:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    unit.look = lambda reading=True: b""
+    client = it.client()
+    client.sendall(ask("moved", kind="pay"))
+    it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
+    listed = it.listed(generation=2)
+    listed["instances"][0]["hostPort"] = other.address
+    it.relay.module.listing(it.relay.config.catalog.listing(listed))
+    it.until(lambda: other.asks() or it.step(5, 1))
+    other.asked(b"moved").sendall(served(b"V"))
+    it.until(lambda: got(client) == value(b"V"))
+    for sock in (*fill, other.listener):
+        sock.close()
+
+
+def test_a_half_written_request_is_not_finished_once_its_builds_cap_has_fallen(world):
+    it = world(buffer=4096)
+    client, unit = it.client(), it.units["u0"]
+    client.sendall(ask("warm"))
+    served_at(it, b"warm")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(30)
+    idle, = it.relay.units.units[1].idle
+    idle._stream._sock.setsockopt(1, 7, 4096)  # SO_SNDBUF
+    head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
+    client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+    while not (idle._stream and idle._stream.unsent):
+        it.scheduler.turn(it.clock.now())
+    attempt = idle.attempt
+    assert not attempt.written
+    for cap in (0.5, 0.0):
+        it.relay.module.news(i.ReleaseNews(i.Phase.TRIAL, 0, 0, i.Outcome.OK, cap, 41, False))
+    it.scheduler.turn(it.clock.now())
+    assert attempt.ended and not attempt.written and idle not in it.relay.units.units[1].connections
+    assert len(unit.look()) < 65000
