Units: of a restarted unit the connections that were opened after its start are kept

The commit before closed all connections of an id whose start, build or place changed. A list comes late: by then a relay that was refused or reset has opened new ones to the new process, and closing these costs each relay of the fleet a handshake for each restart. `Unit.rests` now goes by address and by when the connection came up against the start that is told (or against when the change was told, where no start is).

Tried: address, age, closing, ending the dials each taken back on its own: 1 to 8 tests fail.

--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -1,7 +1,7 @@
 """The units: an actor for each, which hands attempts to its connections, one at a time on each of them."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from loftroute import invariants
@@ -63,7 +63,8 @@
         if attempt:
             attempt.connection = self
         unit.connections.add(self)
-        self.epoch = unit.epoch
+        self.address: Address | None = None  # where it leads to, and since when it stands
+        self.born = 0
         self.dialling, self._begun, self._answered = True, False, False
         self._rests_since = self._scheduler.looked
         self._rest: int | None = None  # how long it had rested before its attempt; None where it is new
@@ -99,7 +100,7 @@
                 self._scheduler, address, until, self._pool.transport.chunk, self._pool.transport.message)
         except Expired as problem:
             raise Closed("no connection in time") from problem
-        self.dialling = False
+        self.address, self.born, self.dialling = address, self._scheduler.looked, False
 
     def _serve(self, attempt: Attempt) -> bool:
         """Write the request and read its answer; whether the connection is good for another."""
@@ -240,7 +241,7 @@
         self.idle: deque[Connection] = deque()
         self.waiting: deque[Attempt] = deque()
         self.ended = False
-        self.epoch = 0  # how often another machine or process has come under this id
+        self._since = 0  # when the process that the list tells of began, or was first told of
         self.connections: set[Connection] = set()
         self.mailbox: Mailbox[Message] = Mailbox(pool.scheduler, pool.transport.mailbox)
         actor(pool.scheduler, f"unit {server}", self.mailbox, self._run)
@@ -252,7 +253,9 @@
                 if isinstance(message, Attempt):
                     self._assign(message)
                 elif message == "close idle":
-                    self._close_idle()
+                    self._close_idle(self.idle)
+                elif message == "close old":
+                    self._close_idle([c for c in self.idle if not self._leads_here(c)])
                 else:
                     self._stop_dials()
             if self.ended:
@@ -283,7 +286,7 @@
     def rests(self, connection: Connection) -> bool:
         """Whether a connection that is free is kept. One that was out while the unit left the list, or while
         another came under its id, leads to what the list no longer tells of."""
-        if self.ended or connection.epoch != self.epoch:
+        if self.ended or not self._leads_here(connection):
             return False
         self.idle.append(connection)
         if self.waiting and self.mailbox.owner:
@@ -330,9 +333,9 @@
         else:
             self.waiting.append(attempt)
 
-    def _close_idle(self) -> None:
-        while self.idle:
-            self.idle.popleft().abort()
+    def _close_idle(self, which: Iterable[Connection]) -> None:
+        for connection in list(which):
+            connection.abort()
 
     def _stop_dials(self) -> None:
         """A dial or a half written request must not outlive what its attempt was allowed by. Its last byte is
@@ -351,8 +354,12 @@
         if moved:
             self.address = address
         if other:
-            self.epoch += 1
-            self.retire()
+            self._since = entry.started or self.pool.scheduler.clock.now()
+            self.mailbox.put("stop dials")
+            self.mailbox.put("close old")
+
+    def _leads_here(self, connection: Connection) -> bool:
+        return connection.address == self.address and connection.born > self._since
 
     def lost(self, connection: Connection) -> None:
         self.connections.discard(connection)
