Lists and news: a source that counts anew, a silent agent, a spoilt list, an older vote's answer

Seen while reading the watch and the platform's actors line by line: - A generation that goes backwards (discovery moved, or its store was begun anew): `Discovery._tell` left every list of a lower version aside, for ever; the relay would never hear of a drain again. Such answers may come at once, and were asked for again at once, as fast as the loop turns. A call that waited 1 s and was given up 0.4 s later hid a drain for up to 1.6 s, with a grace of 1 s. While calls fail the next one is made soon; the three figures go by the settings' drain grace. - An entry twice spoils a list, as before, and nothing changes; that was told at debug level only, so nobody could see why a relay did not follow. Now one warning for a row of failures. - The answer to a vote may tell of an earlier state than the changes did meanwhile (written before, read after): the module took the higher cap back. Builds and their states only go forward; an older answer still counts as answered. - Without a word from the platform a relay was never ready, though it can route (what has no news counts as on trial). It is waited for 2 s after the start. - `Discovery._call` cleared the order for the whole list after telling; a move told meanwhile was lost by that.

Tried: each taken back on its own, one or two tests fail.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -223,7 +223,10 @@
     rests_kept: int = 10_000_000_000  # ... and for how long
     call_timeout: int = 2_000_000_000
     watch_wait: int = 1_000_000_000  # a watch is asked to wait so long
+    watch_again: int = 200_000_000  # ... and only so long while the last one failed
     watch_grace: int = 400_000_000  # ... and is given up when it is so much later
+    older_until: int = 2_000_000_000  # lists older than what is known are taken for stale for so long
+    news_within: int = 2_000_000_000  # after its start a relay waits so long for the platform's first word
     life_within: int = 2_500_000_000  # the changes are given up after so long without a sign of life
     again_after: int = 200_000_000  # pause before what failed is tried again
     settle: int = 25_000_000  # a connection is used again no sooner after its last answer
@@ -391,8 +394,14 @@
     ceilings, release = setup.section("ceilings"), setup.section("family_info")
     base = Transport()
     idle = ceilings.whole("conn_idle", 0)
+    # Where an agent returns and never answers the call that waited, the next must tell of a drain in time.
+    grace = setup.section("obligations").whole("drain_grace", 0) or 5 * base.again_after
+    fifth = max(grace // 5, base.rest)
     return Transport(
         dial_timeout=ceilings.whole("dial_timeout", 0) or base.dial_timeout,
         idle=idle * 2 // 3 or base.idle,
         call_timeout=release.whole("answer_wait", 0) or base.call_timeout,
+        again_after=min(base.again_after, fifth),
+        watch_again=min(base.watch_again, fifth),
+        watch_grace=min(base.watch_grace, max(2 * fifth, base.again_after // 2)),
     )
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -517,9 +517,11 @@
     def _release(self, news: i.ReleaseNews) -> None:
         if news.reply and self.ballot:
             self.ballot.answered(news.status is Outcome.OK, self.rel.vote_life)
-        if news.status is not Outcome.OK:
+        old = self.news
+        # A vote's answer may tell of an earlier state than the changes did meanwhile: its cap holds no more.
+        if news.status is not Outcome.OK or (news.reply and old and stand(news) < stand(old)):
             return
-        old, self.news = self.news, news
+        self.news = news
         self._split()
         if old is None or (old.build, old.stage, old.phase) != (news.build, news.stage, news.phase):
             self.stage_since = self.now - news.age
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -26,6 +26,7 @@
         self._stream: Stream | None = None
         self.failures = self.answers = self.old = 0
         self._row = 0  # failures since the last answer
+        self._older_since: int | None = None  # since when its lists are older than what is known
         self.mailbox: Mailbox[i.Watch | i.Fetch] = Mailbox(scheduler, config.transport.mailbox)
 
     def start(self) -> None:
@@ -37,6 +38,7 @@
         if address == self._address:
             return
         self._address, self._moved, self._fetch = address, True, True
+        self._older_since = None
         self._hang_up()
         self._scheduler.wake(self._task)
 
@@ -70,7 +72,10 @@
     def _broken(self, problem: Exception) -> None:
         self.failures += 1
         self._row += 1
-        logger.debug("discovery: {}", problem)
+        if isinstance(problem, ProtocolError) and self._row == 1:
+            logger.warning("discovery: {}; the list stays as it was", problem)
+        else:
+            logger.debug("discovery: {}", problem)
         if self._ask:  # only who has asked is told, and asks again when it wants to
             self._on = self._fetch = False
             self._module.mailbox.put(i.ServerList(i.ListKind.FAILED, self._version or 0, ()))
@@ -83,23 +88,41 @@
         if self._moved:
             raise Closed("another address was told meanwhile")
         whole = self._fetch or self._version is None
-        wait = 0 if whole else transport.watch_wait
+        # What an agent that was silent has got meanwhile counts as told once it speaks again, also where it
+        # never answers this call: while calls fail, the next one follows soon.
+        wait = 0 if whole else transport.watch_again if self._row else transport.watch_wait
         target = catalog.list_target() if whole else catalog.watch_target(self._version, wait // MS)
         deadline = clock.now() + wait + transport.watch_grace
         stream.send_all([http1.request("GET", target, str(self._address))], deadline)
         response = stream.receive(http1.response, deadline)
         if response.status != 200:
             raise ProtocolError(f"discovery: status {response.status}")
-        self._tell(self._config.catalog.read(response.body))
-        self._fetch = self._fetch and not whole
+        listing = self._config.catalog.read(response.body)
+        self._fetch = self._fetch and not whole  # first: what it tells may call for the whole list
+        self._tell(listing)
 
     def _tell(self, listing: catalog.Listing) -> None:
         self.answers += 1
         self._row = 0
         event = listing.event
-        if self._version is not None and event.version < self._version:
-            self.old += 1  # an agent that lags behind what is known
+        if self._version is not None and event.version < self._version and self._stale(event):
             return
+        self._older_since = None
         if event.kind is i.ListKind.FULL or event.entries or self._ask:
             self._module.listing(listing)
         self._version = event.version
+
+    def _stale(self, event: i.ServerList) -> bool:
+        """Whether a list of a lower version is left aside: an agent may lag behind what is known. One that
+        stays behind counts anew: its whole list holds, or the relay would never hear of a change again."""
+        self.old += 1
+        now = self._scheduler.clock.now()
+        if self._older_since is None:
+            self._older_since = now
+        if now - self._older_since < self._transport.older_until or event.kind is not i.ListKind.FULL:
+            if now - self._older_since >= self._transport.older_until:
+                self._fetch = True
+            self._scheduler.sleep(self._transport.again_after)  # it may well answer at once, again and again
+            return True
+        logger.warning("discovery: version {} after {}, for good", event.version, self._version)
+        return False
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -65,6 +65,8 @@
         self._most, self._lone = config.budget.open, not config.settings.second_copies
         self._longest = [c.deadline for c in config.settings.classes]
         self._come_again = 0  # milliseconds
+        self._born = scheduler.clock.now()
+        self._end: int | None = None  # all is answered by then, since the relay ends
         if config.settings.retry_after:
             self._come_again = min(config.transport.come_again, config.settings.max_retry_after) // MS
         self._attempts = config.settings.max_attempts
@@ -86,7 +88,10 @@
 
     @property
     def ready(self) -> bool:
-        """Told what it needs to route by."""
+        """Told what it needs to route by. Without news the module takes the newest build for one on trial, so
+        a platform that says nothing is waited for only so long."""
+        if self._lacks == {i.ReleaseNews}:
+            return self._scheduler.clock.now() - self._born >= self._transport.news_within
         return not self._lacks
 
     def _run(self) -> None:
