Clients: shutdown answers what it owes before the kill, and half-closed clients get theirs

What it finds unanswered is lost if it came over 0.7 s after SIGTERM, and costs its client the wait in any case.

Read line by line, and forced in tests on real sockets: - requests taken while ending had more time than the relay (`end_by`); what is open 250 ms before the kill is failed, and nothing of it is sent on later (`give_up`); - a request that came behind poll's back as the last answer went out was closed upon (`_last_look`); - the close was a reset where bytes lay unread, and took the answer before them away: now FIN first, and what crosses it is the client's to send again (`_say_goodbye`); - a client that ended its sending side was taken for gone at once: its request was dropped though it may wait for the answer.

Ruled out: a slow reader that does read is not cut off by the patience today (each WRITE event renews it); a change for that was tried, made no test fail when taken back, and is not landed.

Tried: each of the eleven places taken back on its own, one to three tests fail.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -209,6 +209,7 @@
     resting: int  # ... that asked once and wait for nothing
     units: int  # connections to units
     open: int  # requests open at once
+    unsent: int  # bytes of answers that wait for clients that do not read
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,6 +257,10 @@
     drain_least: int = 600_000_000  # after SIGTERM new connections are taken for so long at least
     drain_quiet: int = 200_000_000  # ... and until none has come for so long
     drain_most: int = 1_200_000_000
+    kill_longest: int = 3_000_000_000  # SIGKILL comes no sooner than the longest deadline, taken
+    kill_after: int = 700_000_000  # ... as that where it is longer, and so much, after SIGTERM
+    kill_spare: int = 250_000_000  # so long before that all that is open is answered
+    half_close: int = 150_000_000  # a client that ends its sending side may have gone: nothing is begun later
 
     def pause(self, row: int) -> int:
         """How long to wait after so many failures in a row."""
@@ -387,7 +392,8 @@
     most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)),
                int(base.open_per_core * limits.number("cores", 1.0)))
     most = min(most, ceilings.whole("max_open", 0) or most)
-    return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most)
+    return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most,
+                  unsent=max(memory // 4, 2 * resp.VALUE_LIMIT))
 
 
 def _transport(setup: Section) -> Transport:
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -9,17 +9,17 @@
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import Answer, BadRequest, Job
 from loftroute.relay.module import Module
-from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Scheduler, Task
+from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Scheduler, Task, standing
 from loftroute.runtime.stream import Listener, Stream
 
 
 class Slot:
     """The place of one command in the order of answers; it is the ticket of a request."""
 
-    __slots__ = ("_connection", "job", "pieces")
+    __slots__ = ("_connection", "job", "pieces", "turn")
 
-    def __init__(self, connection: "Connection") -> None:
-        self._connection = connection
+    def __init__(self, connection: "Connection", turn: int) -> None:
+        self._connection, self.turn = connection, turn  # the look at the sockets that found it
         self.job: Job | None = None
         self.pieces: list[resp.Piece] | None = None
 
@@ -50,6 +50,8 @@
         self.slots: deque[Slot] = deque()
         self.mailbox: Mailbox[Slot] = Mailbox(door.scheduler, self._transport.pipelined + 1)
         self._broken = False  # the framing is lost: nothing more is read
+        self._half_closed: int | None = None  # its sending side has ended; requests begin until then
+        self._unsent_since: int | None = None  # an answer is half written since then
         self._bad = 0  # bad requests since the last good one
         self._rest_until: int | None = None  # not read from before then
         self.asked = 0  # whole commands that have come
@@ -70,6 +72,21 @@
         """Whether a request of it is open; one that broke the framing is owed nothing but its error."""
         return bool(self.slots) and not self._broken
 
+    @property
+    def may_have_gone(self) -> bool:
+        """Its client has ended its sending side; most that do so have closed."""
+        return self._half_closed is not None
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that its client has not read."""
+        return self._stream.unsent
+
+    def reads_too_slowly(self, now: int) -> bool:
+        """It takes a byte now and then, and would hold what it is owed for ever."""
+        return self._unsent_since is not None and (
+            now - self._unsent_since > self._door.config.longest + self._transport.patience)
+
     def _run(self) -> None:
         stream = self._stream
         try:
@@ -81,14 +98,56 @@
                     self._waited = 0
                 if self.mailbox.items or stream.unsent:
                     self._flush()
-                if stream.ended or (self._door.closing and self.between):
+                if stream.broken or (stream.ended and not self._waits()):
                     return
                 if self._broken and not (self.slots or stream.unsent):
                     return self._linger()
-                stream.wait(self._rest_until, self._mask())
+                if self._door.closing and not (self.slots or stream.unsent or len(stream.buffer)):
+                    if not self._last_look():
+                        return self._say_goodbye()
+                    continue
+                stream.wait(self._half_closed or self._rest_until, self._mask())
         finally:
             self._leave()
 
+    def _waits(self) -> bool:
+        """The client has ended its sending side: it has closed, or waits for its answers. Both look the same
+        until something is written. What is out is waited for, and nothing more is begun, but for what came
+        in the same look as the end, or in the one before: that has a short while. False where none is."""
+        door, clock = self._door, self._door.scheduler.clock
+        if not (self.slots or self._stream.unsent) or self._broken or door.module.recall is not None:
+            return False
+        if self._half_closed is None:  # it may have lain there for as long as the sockets were not looked at
+            lain = max(door.scheduler.lag, self._waited)
+            self._half_closed = clock.now() + self._transport.half_close - lain
+            self._let_go(door.scheduler.turns - 1)
+        if self._half_closed and clock.now() >= self._half_closed:
+            self._half_closed = 0
+            self._let_go(door.scheduler.turns + 1)
+        return bool(self.slots or self._stream.unsent) and not self._stream.broken
+
+    def _let_go(self, before: int) -> None:
+        for slot in list(self.slots):
+            if slot.job and slot.pieces is None and slot.turn < before:
+                self._door.module.leaving(slot.job)
+        self._flush()
+
+    def _last_look(self) -> bool:
+        """Whether something has come that poll has not told of yet: it is served before the end."""
+        self._stream.events |= READ
+        return self._stream.read()
+
+    def _say_goodbye(self) -> None:
+        """The relay ends, and nothing is open here. The client is told first, and closes; what it sends
+        meanwhile lies unread, for it to send again. To close on that would be a reset, which takes away an
+        answer that the client has not read yet."""
+        stream, clock = self._stream, self._door.scheduler.clock
+        until = clock.now() + self._transport.linger
+        stream.finish()
+        stream.events = 0
+        while not stream.ended and clock.now() < until:
+            stream.wait(until, 0)
+
     def _linger(self) -> None:
         """All is said. What still comes is dropped for a while, since to close on what lies unread would take
         the error away from a client that has not read it yet."""
@@ -108,6 +167,7 @@
             return
         self.slots.popleft()
         stream.write(slot.pieces)
+        self._note_unsent()
         if not self._broken:
             self.since = self._door.scheduler.looked
         if self.slots or stream.unsent or stream.ended or self._door.closing:
@@ -126,6 +186,12 @@
         self._stream.events |= READ
         self._door.scheduler.wake(self.task)
 
+    def _note_unsent(self) -> None:
+        if not self._stream.unsent:
+            self._unsent_since = None
+        elif self._unsent_since is None:
+            self._unsent_since = self._door.scheduler.looked
+
     def endable(self) -> bool:
         """Whether it may be ended now. Nothing may lie unread, whether poll has told of it or not: to close a
         connection on a request would lose it. Who broke the framing or does not read is not waited for."""
@@ -137,6 +203,15 @@
         self._door.scheduler.wake(self.task)
         return False
 
+    def give_way(self) -> None:
+        """Its place is wanted. What is open has failed, and its client is told, if it still reads."""
+        for slot in self.slots:
+            if slot.job and slot.pieces is None:
+                self._door.module.gone(slot.job)
+                slot.pieces = resp.failure("ERR failed")
+        self._flush()
+        self.close()
+
     def close(self) -> None:
         """End it from outside; its descriptor is free at once."""
         self._leave()
@@ -156,7 +231,7 @@
         self._append().answer(resp.failure(text))
 
     def _mask(self) -> int:
-        reading = 0 if self._full() or self._broken or self._rest_until else READ
+        reading = 0 if self._full() or self._broken or self._rest_until or self._stream.ended else READ
         return reading | (WRITE if self._stream.unsent else 0)
 
     def _rests(self) -> bool:
@@ -198,7 +273,7 @@
             self._command(command)
 
     def _append(self) -> Slot:
-        slot = Slot(self)
+        slot = Slot(self, self._door.scheduler.turns)
         self.slots.append(slot)
         return slot
 
@@ -240,6 +315,7 @@
             stream.flush()
         while slots and slots[0].pieces is not None:
             stream.write(slots.popleft().pieces)
+        self._note_unsent()
 
 
 class Clients:
@@ -250,10 +326,11 @@
         self.connections: set[Connection] = set()
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._search_at = self._shut_since = 0
+        self.cut = 0
         self.malformed = self.crowded = self.halves = self.turned = self.thinned = 0
         self.bad = 0
         self.closing = False
-        self._task = scheduler.spawn("listener", self._run)
+        self._task = standing(scheduler, "listener", self._run)
         self._trim()
 
     def _run(self) -> None:
@@ -318,11 +395,12 @@
             return False
         transport = self.config.transport
         self._search_at, old = now + transport.rest // 2, now - transport.quiet_after
-        found = [c for c in self.connections if c.since < old and not c.owes]
-        found.sort(key=lambda c: (c.asked, c.since))  # those first that never asked anything
+        found = [c for c in self.connections if c.may_have_gone or (c.since < old and not c.owes)]
+        # Those first that have gone, as it seems, or never asked anything.
+        found.sort(key=lambda c: (not c.may_have_gone, c.asked, c.since))
         for connection in found[:max(8, self.config.budget.clients // 16)]:
             if connection.endable():
-                connection.close()
+                connection.give_way()
         if len(self.connections) < self.config.budget.clients:
             return True
         self.crowded += 1
@@ -333,16 +411,29 @@
 
     def _trim(self) -> None:
         """End connections that have no request open and brought no whole one for long."""
-        old = self.scheduler.clock.now() - self.config.transport.patience
+        now = self.scheduler.clock.now()
+        self.scheduler.at(now + self.config.transport.trim_every, self._trim)
+        old = now - self.config.transport.patience
         for late in [c for c in self.connections if c.since < old and not c.owes]:
             if late.endable():
                 late.overdue()
+        self._cut_off(now)
         self._thin_out()
-        self.scheduler.at(self.scheduler.clock.now() + self.config.transport.trim_every, self._trim)
+
+    def _cut_off(self, now: int) -> None:
+        """Whoever reads too slowly for any answer; and those that hold the most, once all hold too much."""
+        holding = sorted((c for c in self.connections if c.unsent), key=lambda c: c.unsent)
+        total = sum(c.unsent for c in holding)
+        for connection in reversed(holding):
+            if total > self.config.budget.unsent or connection.reads_too_slowly(now):
+                total -= connection.unsent
+                self.cut += 1
+                connection.close()
 
     def close(self) -> None:
         """Take what still waits, then no more; each connection ends once it is between requests."""
-        self._accept_all()
+        if not self._accept_all():
+            self._turn_away()
         self.scheduler.cancel(self._task)
         self._listener.close()
         self.closing = True
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -130,25 +130,33 @@
         self._end()
 
     def _end(self) -> None:
-        """New connections are taken while they come; then clients are closed between requests."""
+        """New connections are taken while they come; then clients are closed between requests. What is still
+        open shortly before the platform may kill gets its answer then, and a moment to get out."""
         clock, transport = self.scheduler.clock, self.config.transport
         asked = clock.now()
+        longest = min(self.config.longest, transport.kill_longest) + transport.kill_after
+        end = asked + longest - transport.kill_spare
+        self.module.end_by(end)
         logger.info("ending: {} requests open, {} clients", len(self.module.open),
                     len(self.clients.connections))
-        while clock.now() < asked + transport.drain_most:
+        while clock.now() < min(asked + transport.drain_most, end):
             quiet = clock.now() - max(self.clients.last_accept, asked) >= transport.drain_quiet
             if quiet and clock.now() >= asked + transport.drain_least:
                 break
             self.scheduler.sleep(20 * MS)
         self.clients.close()
-        last = clock.now() + self.config.longest + transport.drain_quiet
-        while self.clients.connections and clock.now() < last:
-            self.scheduler.sleep(10 * MS)
+        self._wait_for_clients(end)
+        self.module.give_up()
+        self._wait_for_clients(clock.now() + transport.kill_spare // 2)
         self.report()
         for part in reversed(self.parts):
             part.close()
         self.scheduler.stop()
 
+    def _wait_for_clients(self, until: int) -> None:
+        while self.clients.connections and self.scheduler.clock.now() < until:
+            self.scheduler.sleep(10 * MS)
+
     def report(self) -> None:
         """One line that tells how the relay is."""
         used = resource.getrusage(resource.RUSAGE_SELF)
@@ -162,6 +170,7 @@
             "cpu s": round(used.ru_utime + used.ru_stime, 1), "task failures": scheduler.failures,
             "bad requests": self.clients.bad, "malformed": self.clients.malformed,
             "half commands": self.clients.halves, "closed unread": self.clients.turned,
+            "cut off": self.clients.cut,
             "thinned out": self.clients.thinned,
             "spoilt answers": self.units.malformed, "unasked answers": self.units.unasked,
             "crowded": self.units.crowded + self.clients.crowded,
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -47,6 +47,7 @@
     ticket: Ticket
     deadline: int
     attempts: list[Attempt]
+    leaving: bool = False  # its client may have gone: it waits for the attempt that is out, and for no other
 
 
 class Module:
@@ -136,8 +137,10 @@
         if job.id in self.open:
             self.count["id in use"] += 1
             return ticket.failed()
-        left = max(min(job.left, self._longest[job.cls]) - waited - self._transport.spare, MS)
-        self.open[job.id] = Open(job, ticket, self._scheduler.clock.now() + left, [])
+        now = self._scheduler.clock.now()
+        left = min(job.left, self._longest[job.cls]) - waited - self._transport.spare
+        left = max(left if self._end is None else min(left, self._end - now), MS)
+        self.open[job.id] = Open(job, ticket, now + left, [])
         self.requests += 1
         self.mailbox.put(job.event(left))
 
@@ -155,6 +158,31 @@
                 if not (attempt.ended or attempt.written):
                     attempt.cancel()
 
+    def leaving(self, job: Job) -> None:
+        """The client has ended its sending side: it has gone, or still waits. An attempt that is out goes on,
+        and what comes of it is the answer. What was not sent is not sent any more, and has failed."""
+        held = self.open.get(job.id)
+        if held is None or held.job is not job:
+            return
+        if any(attempt.written and not attempt.ended for attempt in held.attempts):
+            held.leaving = True
+            self.count["clients leaving"] += 1
+            return self.mailbox.put(i.ClientGone(job.id))
+        self.gone(job)
+        held.ticket.failed()
+
+    def end_by(self, when: int) -> None:
+        """The relay is to end: what is taken from now on is answered by then."""
+        self._end = when
+
+    def give_up(self) -> None:
+        """The end: whatever is still open has failed. A kill would leave its client without a word."""
+        for held in list(self.open.values()):
+            self.withdraw(held.job, False)
+            for attempt in held.attempts:
+                if not (attempt.ended or attempt.written):
+                    attempt.cancel()
+
     def listing(self, listing: Listing) -> None:
         self._units.listed(listing)
         self.mailbox.put(listing.event)
@@ -189,6 +217,10 @@
             mine = False
             self.served += 1
             held.ticket.served(result)
+        if mine and held.leaving and all(other.ended for other in held.attempts):
+            del self.open[job.id]
+            mine = False
+            held.ticket.failed()
         took = self._scheduler.clock.now() - (attempt.written or attempt.sent)  # without a dial
         if outcome is not i.Outcome.TIMEOUT:  # it may have lain unread since the last look: our lateness
             took = max(took - self._scheduler.lag, 0)
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -74,8 +74,8 @@
 class Stream:
     """One connection, used by one task. `events` is what poll has said of it and was not yet followed."""
 
-    __slots__ = ("_mask", "_out", "_scheduler", "_sock", "buffer", "closed", "ended", "events", "fd", "task",
-                 "unsent")
+    __slots__ = ("_mask", "_out", "_scheduler", "_sock", "broken", "buffer", "closed", "ended", "events",
+                 "fd", "task", "unsent")
 
     def __init__(self, scheduler: Scheduler, sock: socket.socket, chunk: int, limit: int) -> None:
         self._scheduler, self._sock = scheduler, sock
@@ -84,6 +84,7 @@
         self._out: deque[memoryview] = deque()
         self.unsent = 0
         self.ended = False  # the peer has ended its side, or the connection is broken
+        self.broken = False  # ... and nothing can be written to it either
         self.closed = False
         self.events = READ  # nobody has looked yet
         self.task: Task | None = None
@@ -143,7 +144,7 @@
             self.events = 0
             return 0
         except OSError:
-            count = 0
+            count, self.broken = 0, True
         self.ended = self.ended or not count
         return count
 
@@ -179,7 +180,8 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
-            self.ended, sent = True, 0
+            self.ended = self.broken = True
+            sent = 0
         if sent != sum(map(len, pieces)):
             self._keep(pieces)
             self._sent(sent)
@@ -198,7 +200,7 @@
             except (BlockingIOError, InterruptedError):
                 break
             except OSError:
-                self.ended = True
+                self.ended = self.broken = True
                 break
             self._sent(sent)
         return not self._out
@@ -222,7 +224,7 @@
             self._mask = wanted
         self._scheduler.park(deadline)
         if self.events & BROKEN and not wanted & READ and not wanted & WRITE:
-            self.ended = True  # nobody reads or writes who would find out, and poll would say it for ever
+            self.ended = self.broken = True  # nobody reads or writes who would find out
 
     def receive(self, parser: Parser[Message], deadline: int | None) -> Message:
         """The next message; Closed, Expired or ProtocolError where there is none."""
