Build: the compiled cache is not removed before it is made again

`rm -rf .pycache` in deploy/build.sh took the cache from under relays that were starting from the same tree: a build beside running plays or tests made them compile (the test of that failed when tests ran side by side). Entries go by the source's time and size, so a stale one is made anew; the test builds first by itself.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,7 +12,6 @@
 # All that `run` imports is compiled here, the standard library's part too: with -O the interpreter's own cache is
 # of no use, and a start that compiles takes four times the processor. Many relays start at once, on few cores.
 compile_all() {
-    rm -rf .pycache
     env -u PYTHONDONTWRITEBYTECODE .venv/bin/python -O -X pycache_prefix=.pycache -c 'import loftroute.__main__'
 }
 if [ "$(cat .venv/installed.txt 2>/dev/null)" = "$wanted" ] && .venv/bin/python -B -c 'import greenlet, loguru'; then
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -72,6 +72,7 @@
 def test_a_start_compiles_nothing():
     """Guards against slow starts: with -O the interpreter's own cache is of no use, and where hundreds of
     relays start at once on few cores, compiling the standard library took three quarters of each start."""
+    subprocess.run(["/bin/sh", "-c", deploy()["build"]], cwd=ROOT, capture_output=True, check=True)
     command = deploy()["run"].replace(" -m loftroute", " -v -c 'import loftroute.__main__'")
     told = subprocess.run(["/bin/sh", "-c", command], cwd=ROOT, capture_output=True, text=True, check=True)
     read = [line for line in told.stderr.splitlines() if line.startswith("# code object from")]
