Clients: a command whose first bytes cross the close of its idle connection has its time

Seen: a client rests for longer than the 2.2 s that it is kept; its next command comes in two segments, and the first lies in the kernel, not told by poll, as `Clients._trim` decides. `Connection.endable` reads it and spares the connection, but `since` stayed at the last answer (`_read` sets it only where the buffer is empty, and it no longer is), so 100 ms later the next `_trim` answered "-ERR no whole command in time" and closed: a usual client's request failed.

Found by the test that forces the order with a timer behind poll (cut at 1 and 40 bytes); both cases fail without the change. Change: what `endable` reads first counts as the beginning of the next command.

Tests for further crossings at the door come with it; these held: SIGTERM while the attempt dials, between two attempts (both orders), with the answer half written, before ready, with SIGHUP before and after; a client that leaves while dialling or in the look that brings its answer; floods of five kinds; one byte a second.

--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -197,9 +197,12 @@
         connection on a request would lose it. Who broke the framing or does not read is not waited for."""
         if self._broken or self._stream.unsent:
             return True
+        first = not len(self._stream.buffer)
         self._stream.events |= READ
         if not self._stream.read():
             return True
+        if self.asked and first:  # the next command has begun just now, whole or not
+            self.since = self._door.scheduler.looked
         self._door.scheduler.wake(self.task)
         return False
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -1,10 +1,12 @@
 """At the front door, two events that cross: shutdown, half-close, slow readers (`docs/races.md`)."""
 
 import contextlib
+import socket
 
 import pytest
 
-from tests.stepped import MS, SECOND, ask, ended, got, served, served_at, value
+from loftroute.decision import interface as i
+from tests.stepped import MS, SECOND, Unit, ask, ended, got, reset, served, served_at, value
 
 # ---- shutdown
 
@@ -146,9 +148,226 @@
     it.until(lambda: it.stopped or it.step(20, 1))
 
 
+def full_unit(it):
+    """A unit whose queue is full: dials to it stay under way until it is freed."""
+    unit = it.units["full"] = Unit(backlog=0)
+    fill = [socket.socket() for _ in range(2)]
+    for sock in fill:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    unit.look = lambda reading=True: b""
+    it.tell(generation=2)
+    return unit, fill
+
+
+def free(unit, fill):
+    for sock in fill:
+        sock.close()
+    del unit.look
+
+
+def test_a_request_whose_attempt_dials_as_the_relay_ends_is_served(world):
+    it = world(units=0)
+    slow, fill = full_unit(it)
+    client = it.client()
+    client.sendall(ask())
+    it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
+    it.terminate()
+    it.turn(2)
+    free(slow, fill)
+    it.until(lambda: slow.asks() or it.step(20, 1))
+    served_at(it, b"Q.ASK")
+    it.until(lambda: got(client) == value(b"V"))
+    it.until(lambda: ended(client) or it.step(20, 1))
+
+
+@pytest.mark.parametrize("first", ["sigterm", "outcome"])
+def test_a_request_between_two_attempts_as_the_relay_ends_gets_its_second(world, first):
+    it = world(units=2)
+    client = it.client()
+    client.sendall(ask("again"))
+    unit = it.until(lambda: next((u for u in it.units.values() if u.asks()), None))
+    events = [it.terminate, lambda: unit.asked(b"again").sendall(b"-BUSY\r\n")]
+    for event in events if first == "sigterm" else reversed(events):
+        event()
+    for peer in unit.heard:
+        unit.heard[peer] = b""
+    served_at(it, b"again")
+    it.until(lambda: got(client) == value(b"V"))
+
+
+def test_an_answer_half_written_as_the_relay_ends_goes_out_to_its_last_byte(world):
+    it = world()
+    reader = it.client(buffer=4096)
+    connection = it.until(lambda: next(iter(it.relay.clients.connections), None))
+    connection._stream._sock.setsockopt(1, 7, 4096)  # SO_SNDBUF
+    reader.sendall(ask())
+    served_at(it, b"Q.ASK", b"x" * 65000)
+    it.until(lambda: connection.unsent)
+    it.closing()
+    seen = 0
+    while not it.stopped:
+        it.step(20, 1)
+        with contextlib.suppress(BlockingIOError):
+            seen += len(reader.recv(3500))
+    seen += len(got(reader))
+    assert seen == len(value(b"x" * 65000))
+
+
+def test_sigterm_before_the_relay_is_ready_ends_it_and_answers_what_came(world):
+    it = world()
+    it.relay.module._lacks.add(i.ReleaseNews)
+    client = it.client()
+    client.sendall(b"*1\r\n$4\r\nPING\r\n")
+    it.terminate()
+    it.until(lambda: got(client) == b"-LOADING\r\n")
+    it.until(lambda: it.stopped or it.step(20, 1))
+    assert it.clock.now() - 1000 * SECOND < 2 * SECOND
+
+
+@pytest.mark.parametrize("when", ["before", "after"])
+def test_a_reload_beside_sigterm_keeps_what_is_open(world, when, tmp_path, monkeypatch):
+    it = world()
+    client = it.client()
+    client.sendall(ask())
+    it.until(lambda: it.units["u0"].asks())
+    (tmp_path / "config.json").write_text("{ half a file")
+    monkeypatch.setenv("RELAY_CONFIG", str(tmp_path / "config.json"))
+    for event in ([it.relay._asked_to_reload, it.terminate] if when == "before"
+                  else [it.terminate, it.relay._asked_to_reload]):
+        event()
+    it.closing()
+    served_at(it, b"Q.ASK")
+    it.until(lambda: got(client) == value(b"V"))
+    it.until(lambda: it.stopped or it.step(20, 1))
+    assert it.relay.reloads == 0 and it.scheduler.failures == 0
+
+
 # ---- clients
 
 
+@pytest.mark.parametrize("how", ["close", "reset"])
+@pytest.mark.parametrize("when", ["dialling", "answered"])
+def test_a_client_that_leaves_while_its_attempt_dials_or_is_answered_costs_no_other(world, how, when):
+    it = world(units=0)
+    unit, fill = full_unit(it)
+    gone, stays = it.client(), it.client()
+    if when == "answered":
+        free(unit, fill)
+    gone.sendall(ask("gone"))
+    if when == "dialling":
+        it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
+        it.turn(3)
+    else:
+        it.until(lambda: unit.asks())
+        unit.asked(b"gone").sendall(served(b"V"))  # and in the same look:
+    it.clients.remove(gone)
+    reset(gone) if how == "reset" else gone.close()
+    it.turn(4)
+    if when == "dialling":
+        free(unit, fill)
+        it.step(200)
+    assert it.relay.module.open == {} and len(it.relay.clients.connections) == 1
+    it.step(200)
+    assert when == "answered" or unit.asks() == 0
+    stays.sendall(ask("stays"))
+    it.until(lambda: b"stays" in unit.look() or it.step(10, 1))
+    served_at(it, b"stays", b"S")
+    it.until(lambda: got(stays) == value(b"S"))
+
+
+def test_a_request_that_comes_after_its_idle_connection_was_closed_never_ran(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask("first"))
+    served_at(it, b"first")
+    it.until(lambda: got(client) == value(b"V"))
+    it.clock.time += 2300 * MS  # longer than it is kept
+    it.relay.clients._trim()
+    client.sendall(ask("second"))  # it crosses the close; the client asks again on a new connection
+    it.turn(3)
+    assert it.relay.module.open == {} and not it.relay.clients.connections
+    assert not any(b"second" in heard for heard in it.units["u0"].heard.values())
+
+
+@pytest.mark.parametrize("part", [1, 40, None])
+def test_a_request_that_lies_unread_keeps_its_idle_connection_from_being_closed(world, part):
+    """Also where only its beginning lies there: it has the time that any command has from its first byte."""
+    it = world()
+    client = it.client()
+    client.sendall(ask("first"))
+    served_at(it, b"first")
+    it.until(lambda: got(client) == value(b"V"))
+    it.clock.time += 2300 * MS
+    raw = ask("second")
+    it.scheduler.at(0, lambda: client.sendall(raw[:part]))  # behind poll, and before the door looks for whom
+    it.turn(2)                                              # to close: that timer is due in this turn too
+    it.step(150)
+    client.sendall(raw[part:] if part else b"")
+    it.step(30)
+    served_at(it, b"second")
+    it.until(lambda: got(client) == value(b"V"))
+
+
+def flood(it, count, raw):
+    """Connections that bring so much and then say nothing."""
+    found = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(("127.0.0.1", it.port))
+        found.append(sock)
+        it.clients.append(sock)
+        it.turn()
+        if raw:
+            with contextlib.suppress(OSError):
+                sock.sendall(raw)
+    return found
+
+
+@pytest.mark.parametrize("raw", [b"", b"*", b"*4\r\n$5\r\nQ.A", b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 3000])
+def test_a_flood_is_bounded_each_gets_its_error_or_close_and_the_usual_client_is_served(world, raw):
+    it = world(limits={"cores": 1.0, "memory_mb": 64, "sockets": 80})
+    usual = it.client()
+    usual.sendall(ask("before"))
+    served_at(it, b"before")
+    it.until(lambda: got(usual) == value(b"V"))
+    crowd = flood(it, 100, raw)
+    most = it.relay.config.budget.clients
+    for n in range(30):  # 3 s
+        assert len(it.relay.clients.connections) <= most
+        it.step(100)
+        if n % 10 == 0:
+            client = it.client()
+            client.sendall(ask(f"usual{n}"))
+            it.step(30)
+            it.until(lambda n=n: any(b"usual%d" % n in h for u in it.units.values()
+                                     for h in (u.look(), *u.heard.values())) or it.step(10, 1))
+            served_at(it, b"usual%d" % n)
+            it.until(lambda c=client: got(c) == value(b"V"))
+    left = 0
+    for sock in crowd:
+        with contextlib.suppress(ConnectionError):
+            said = got(sock)
+            left += not said and not ended(sock)
+    assert left == 0
+
+
+def test_one_byte_a_second_is_an_error_in_time_and_no_half_command_is_passed_on(world):
+    it = world()
+    slow = it.client()
+    raw = ask()
+    for n in range(30):
+        if n % 10 == 0:
+            slow.sendall(raw[n // 10:n // 10 + 1])
+        it.step(100)
+        if said := got(slow):
+            break
+    assert said.startswith(b"-ERR") and it.clock.now() - 1000 * SECOND <= 3 * SECOND
+    assert it.units["u0"].asks() == 0
+
+
+
 def test_a_slow_reader_that_reads_gets_its_whole_answer(world):
     """It has no request open, and its answer takes longer than a silent client is borne."""
     it = world()
