--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -5,6 +5,7 @@
 import socket
 from itertools import pairwise
 
+import pytest
 from loguru import logger
 
 from loftroute import config
@@ -12,7 +13,7 @@
 from loftroute.lab.setup import setup
 from loftroute.protocol.catalog import Address
 from tests.harness import Relay
-from tests.stepped import MS, SECOND, got
+from tests.stepped import MS, SECOND, Unit, ask, got, served_at, value
 
 
 def called(it):
@@ -145,3 +146,100 @@
     assert not it.relay.module.ready
     it.step(2100)
     assert it.relay.module.ready
+
+@pytest.mark.parametrize("silent", ["before", "head", "body", "chunk"])
+def test_a_watch_that_falls_silent_is_opened_anew_in_time_and_its_late_answer_is_nobodys(world, silent):
+    """The page counts what it misses as told 6 s after it fell silent, or 2 s after its wait is over."""
+    it = world(units=2)
+    watch = it.until(lambda: called(it))
+    late = json.dumps(it.listed(generation=9, whole=False, u0="DELETED")).encode()
+    whole = {"before": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(late), late),
+             "chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      b"%x\r\n%b\r\n0\r\n\r\n" % (len(late), late)}
+    raw = whole.get(silent, whole["before"])
+    cut = {"before": 0, "head": 20, "body": len(raw) - 30, "chunk": len(raw) - 20}[silent]
+    watch.sendall(raw[:cut])
+    begun, second = it.clock.now(), None
+    while second is None:
+        it.step(50)
+        second = called(it)
+        assert it.clock.now() - begun <= 2 * SECOND
+    with contextlib.suppress(OSError):
+        watch.sendall(raw[cut:])  # in the same look as the new one's answer
+    body = json.dumps(it.listed(generation=3, whole=False, u0="DRAINING")).encode()
+    second.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+    it.turn(4)
+    assert it.relay.discovery._version == 3
+    assert it.relay.units.units[1].entry.state is i.ServerState.DRAINING
+
+
+@pytest.mark.parametrize("order", [("change", "full"), ("full", "change")])
+def test_a_full_list_and_a_change_that_cross_leave_the_later_version(world, order):
+    it = world(units=2)
+    told = {"change": it.listed(generation=6, whole=False, u0="DRAINING"), "full": it.listed(generation=5)}
+    for name in order:
+        discovery_answers(it, told[name])
+    assert it.relay.discovery._version == 6
+    assert it.relay.units.units[1].entry.state is i.ServerState.DRAINING
+
+
+def test_with_discovery_down_at_the_start_the_old_list_serves_at_once(world):
+    it = world()
+    it.discovery.close()
+    assert it.relay.module.ready
+    client = it.client()
+    client.sendall(b"*1\r\n$4\r\nPING\r\n" + ask())
+    served_at(it, b"Q.ASK")
+    seen = [b""]
+
+    def both():
+        seen[0] += got(client)
+        return seen[0] == b"+PONG\r\n" + value(b"V")
+    it.until(both)
+
+
+def test_with_the_old_lists_units_gone_the_relay_is_ready_and_serves_from_the_first_list(world):
+    it = world()
+    it.units.pop("u0").listener.close()  # refused from now on
+    client = it.client()
+    client.sendall(b"*1\r\n$4\r\nPING\r\n" + ask("early"))
+    seen = it.until(lambda: got(client) or it.step(20, 1))
+    it.step(500)
+    assert (seen + got(client)).startswith(b"+PONG\r\n-BUSY")  # it never ran: harmless to ask again
+    fresh = it.units["u1"] = Unit()
+    discovery_answers(it, it.listed(generation=7))
+    client.sendall(ask("waits"))
+    it.until(lambda: fresh.asks() or it.step(20, 1))
+    served_at(it, b"waits")
+    it.until(lambda: got(client) == value(b"V"))
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_a_reload_with_a_watch_open_asks_the_new_source_and_drops_the_old_answer(world, times):
+    it = world(units=2)
+    watch = it.until(lambda: called(it))
+    elsewhere = socket.create_server(("127.0.0.1", 0))
+    late = json.dumps(it.listed(generation=9, whole=False, u0="DELETED")).encode()
+    for _ in range(times):
+        it.relay._follow(config.Control(Address(*elsewhere.getsockname()), None))
+    with contextlib.suppress(OSError):
+        watch.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(late), late))
+    it.discovery.close()
+    it.discovery = elsewhere
+    it.calls = []
+    peer = it.until(lambda: called(it))
+    body = json.dumps(it.listed(generation=4)).encode()
+    peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+    it.turn(4)
+    assert it.relay.discovery._version == 4 and len(it.relay.units.units) == 2
+
+
+@pytest.mark.parametrize("first", ["news", "answer"])
+def test_stage_news_and_a_votes_answer_that_cross_leave_the_later_stage(first):
+    relay = Relay()
+    relay.fleet(4, 2)
+    relay.news(stage=0, cap=0.2)
+    told = {"news": {"stage": 1, "cap": 0.5}, "answer": {"stage": 0, "cap": 0.2, "reply": 1}}
+    for name in (("news", "answer") if first == "news" else ("answer", "news")):
+        relay.news(**told[name])
+    assert (relay.instance.news.stage, relay.instance.news.cap) == (1, 0.5)
--- a/tests/test_crossings_units.py
+++ b/tests/test_crossings_units.py
@@ -1,5 +1,6 @@
 """On the way to a unit, two events that cross (`docs/races.md`)."""
 
+import contextlib
 import socket
 
 import pytest
@@ -7,8 +8,9 @@
 from loftroute.decision import interface as i
 from loftroute.lab.setup import setup
 from loftroute.relay.units import Attempt
+from loftroute.runtime.stream import Stream
 from tests.harness import Relay, named
-from tests.stepped import MS, SECOND, Unit, ask, got, reset, served, served_at, value
+from tests.stepped import MS, SECOND, Unit, ask, ended, got, reset, served, served_at, value
 
 
 def attempt_within(it, length, done):
@@ -343,3 +345,203 @@
     it.scheduler.turn(it.clock.now())
     assert attempt.ended and not attempt.written and idle not in it.relay.units.units[1].connections
     assert len(unit.look()) < 65000
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_connection_that_fails_before_the_last_byte_never_ran_and_even_unsafe_work_goes_on(
+        world, how, monkeypatch):
+    it = world(units=2, buffer=4096)
+    client = it.client()
+    head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
+    small_buffers(monkeypatch)
+    client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+
+    def half():
+        return next((a for held in it.relay.module.open.values() for a in held.attempts if a.connection
+                     and a.connection._stream and a.connection._stream.unsent), None)
+    for _ in range(100):
+        it.scheduler.turn(it.clock.now())
+        if attempt := half():
+            break
+    first = it.units[f"u{attempt.server - 1}"]
+    first.look(reading=False)
+    for peer in list(first.peers):
+        first.peers.remove(peer)
+        reset(peer) if how == "reset" else peer.close()
+    other = next(u for u in it.units.values() if u is not first)
+    it.until(lambda: b"x" * 65000 in other.look() or b"x" * 65000 in first.look() or it.step(5, 1))
+    assert attempt.ended and not attempt.written
+    unit = next(u for u in (other, first) if b"x" * 65000 in u.look())
+    unit.asked(b"Q.DO").sendall(served(b"V"))
+    it.until(lambda: got(client) == value(b"V"))
+
+
+def small_buffers(monkeypatch):
+    """Connections to units hold little, so that a long request is half written."""
+    dial = Stream.dial.__func__
+
+    def dialled(cls, *values, **more):
+        stream = dial(cls, *values, **more)
+        stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+    monkeypatch.setattr(Stream, "dial", classmethod(dialled))
+
+
+@pytest.mark.parametrize("kind", ["read", "pay"])
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_connection_that_fails_at_the_last_byte_may_have_run(world, how, kind):
+    """The unit has it whole and says nothing: what is safe goes on, what is unsafe has failed."""
+    it = world(units=2)
+    client = it.client()
+    client.sendall(ask("k", kind=kind))
+    unit = it.until(lambda: next((u for u in it.units.values() if u.asks()), None))
+    peer = unit.asked(b"Q.")
+    unit.peers.remove(peer)
+    unit.heard[peer] = b""
+    reset(peer) if how == "reset" else peer.close()
+    if kind == "pay":
+        it.until(lambda: got(client) == b"-ERR failed\r\n")
+        assert sum(u.asks() for u in it.units.values()) == 0
+    else:
+        served_at(it, b"Q.ASK")
+        it.until(lambda: got(client) == value(b"V"))
+
+
+def test_an_idle_close_that_comes_behind_the_look_before_a_write_is_told_by_that_look(world):
+    """The unit's close lies in the kernel; poll has not told of it as the next request is written."""
+    it = world()
+    client = it.client()
+    client.sendall(ask("first", kind="pay"))
+    _, peer = served_at(it, b"first")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(50)
+    second = ask("second", kind="pay")
+    client.sendall(second)
+    it.scheduler.at(0, lambda: peer.shutdown(1))  # behind poll, before the request is handed on
+    served_at(it, b"second")
+    it.until(lambda: got(client) == value(b"V"))
+
+
+@pytest.mark.parametrize("first", ["answer", "time-out"])
+def test_an_answer_around_the_time_out_serves_once_and_its_connection_is_used_for_nothing_else(world, first):
+    it = world()
+    client = it.client()
+    client.sendall(ask("late", kind="pay"))
+    it.until(lambda: it.units["u0"].asks())
+    held = next(iter(it.relay.module.open.values()))
+    peer = it.units["u0"].asked(b"late")
+    connection = held.attempts[0].connection
+    if first == "answer":
+        peer.sendall(served(b"V"))
+        it.clock.time = held.attempts[0].until
+        it.turn(2)
+        assert got(client) == value(b"V")
+        return
+    it.clock.time = held.attempts[0].until
+    it.turn(1)
+    with contextlib.suppress(OSError):
+        peer.sendall(served(b"V"))
+    it.step(20)
+    it.until(lambda: got(client) == b"-ERR failed\r\n")
+    assert connection not in it.relay.units.units[1].connections and ended(peer)
+
+
+def test_an_answer_that_breaks_off_in_silence_ends_with_the_time_out(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask("cut", kind="pay", d=500))
+    it.until(lambda: it.units["u0"].asks())
+    it.units["u0"].asked(b"cut").sendall(served(b"VALUE")[:9])
+    begun = it.clock.now()
+    answer = it.until(lambda: got(client) or it.step(20, 1))
+    assert answer == b"-ERR failed\r\n" and it.clock.now() - begun <= 550 * MS  # the page's slack
+
+
+def test_a_cancelled_attempt_takes_its_connection_with_it(world):
+    it = world()
+    client = it.client()
+    client.sendall(ask("first"))
+    it.until(lambda: it.units["u0"].asks())
+    attempt = next(iter(it.relay.module.open.values())).attempts[0]
+    old, peer = attempt.connection, it.units["u0"].asked(b"first")
+    attempt.cancel()
+    with contextlib.suppress(OSError):
+        peer.sendall(served(b"A"))
+    assert attempt.ended and old not in it.relay.units.units[1].connections
+    it.until(lambda: any(b"first" in h for p, h in it.units["u0"].heard.items() if p is not peer))
+    it.units["u0"].heard[peer] = b""
+    served_at(it, b"first", b"B")
+    it.until(lambda: got(client) == value(b"B"))
+
+
+def test_a_deadline_that_comes_while_dialling_is_answered_and_the_dial_that_comes_up_late_says_nothing(world):
+    it = world(backlog=0)
+    unit = it.units["u0"]
+    fill = [socket.socket() for _ in range(3)]
+    for sock in fill:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    unit.look = lambda reading=True: b""
+    client = it.client()
+    client.sendall(ask("late", kind="pay", d=150))
+    it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
+    begun = it.clock.now()
+    answer = it.until(lambda: got(client) or it.step(10, 1))
+    assert answer.startswith(b"-") and it.clock.now() - begun <= 150 * MS
+    for sock in fill:
+        sock.close()
+    del unit.look
+    it.step(100)
+    assert unit.asks() == 0 and it.relay.units.open == 0
+
+
+def test_the_last_attempt_that_the_settings_allow_is_the_last(world):
+    it = world(units=3, ceilings__max_attempts=2)
+    client = it.client()
+    client.sendall(ask("again"))
+    for _ in range(2):
+        unit = it.until(lambda: next((u for u in it.units.values() if b"again" in u.look()), None)
+                        or it.step(10, 1))
+        peer = unit.asked(b"again")
+        unit.heard[peer] = b""
+        peer.sendall(b"-ERR failed\r\n")
+    answer = it.until(lambda: got(client) or it.step(20, 1))
+    it.step(100)
+    assert answer.startswith(b"-") and not any(b"again" in u.look() for u in it.units.values())
+
+
+def test_a_group_that_changes_between_two_attempts_is_the_first_units_as_it_was(world):
+    """The unit that may have run it moves to another zone: its repeats are dropped where it was."""
+    relay = Relay(setup(zones=["a", "b"]))
+    relay.servers("0 1 healthy 0 1 1 0 0", "1 1 healthy 0 1 2 0 0")
+    for _ in range(40):
+        ref, actions = relay.ask(cls=1)
+        sent = next(a for a in actions if a[0] == "FORWARD")
+        if sent[2] == "1":
+            break
+        relay.answer(ref)
+    relay.servers("1 1 healthy 0 1 1 0 0", "1 1 healthy 0 1 2 0 0")
+    actions = relay.answer(ref, "ResetByPeer") + relay.wait(500 * MS)
+    assert not named(actions, "FORWARD")
+
+
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_a_drain_told_while_an_attempt_dials_sends_it_elsewhere(world, state):
+    it = world(backlog=0)
+    unit = it.units["u0"]
+    fill = [socket.socket() for _ in range(3)]
+    for sock in fill:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    unit.look = lambda reading=True: b""
+    client = it.client()
+    client.sendall(ask("moved", kind="pay"))
+    it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
+    it.units["u1"] = Unit()
+    it.tell(generation=2, whole=False, u0=state, u1="SERVING")
+    for sock in fill:
+        sock.close()
+    del unit.look
+    it.until(lambda: it.units["u1"].asks() or it.step(10, 1))
+    assert unit.asks() == 0
+    served_at(it, b"moved")
+    it.until(lambda: got(client) == value(b"V"))
