--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -327,19 +327,11 @@
             return connection.take(attempt)
         if self.address is None:
             return attempt.finish(NEVER_RAN)
-        if self._settle_too_late(attempt) and len(self.connections) < self.pool.share() and self.pool.room():
+        if len(self.connections) < self.pool.share() and self.pool.room():
             Connection(self, attempt)
         else:
             self.waiting.append(attempt)
 
-    def _settle_too_late(self, attempt: Attempt) -> bool:
-        """Whether no idle connection is left for it, or the next one settles for longer than a small part of
-        the time that it has: a customer's deadline may be short, and a dial is quick."""
-        if len(self.idle) <= len(self.waiting):
-            return True
-        now = self.pool.scheduler.looked
-        return min(c.settles for c in self.idle) - now > (attempt.until - now) // 20
-
     def _close_idle(self, which: Iterable[Connection]) -> None:
         for connection in list(which):
             connection.abort()
