--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -219,9 +219,9 @@
     dial_timeout: int = 250_000_000
     gather: int = 1_000_000  # the sockets are not looked at more often than this
     idle: int = 3_000_000_000  # an idle connection to an unit is closed then, where the settings tell no time
-    rests_seen: int = 8  # connections used again after like rests before anything is held against these
-    rests_break: float = 0.1  # share that breaks, beyond twice that of new connections
-    rests_kept: int = 10_000_000_000  # ... and for how long
+    keepalive_seen: int = 8  # connections used again after like rests before anything is held against these
+    keepalive_break: float = 0.1  # share that breaks, beyond twice that of new connections
+    keepalive_kept: int = 10_000_000_000  # ... and for how long
     call_timeout: int = 2_000_000_000
     watch_wait: int = 1_000_000_000  # a watch is asked to wait so long
     watch_again: int = 200_000_000  # ... and only so long while the last one failed
@@ -248,7 +248,7 @@
     backlog: int = 1024
     open_per_core: int = 128  # requests open at once: more only wait, and cost the core they wait for
     program: int = 24 << 20  # memory that the program itself takes; the rest bounds the requests open
-    pauses: int = 4  # failures in a row after which that pause is whole; after the first there is none
+    backoff_steps: int = 4  # failures in a row after which that pause is whole; after the first there is none
     rest: int = 20_000_000  # a full door is looked at again after so long
     warm: int = 3  # most connections to a unit that is new in the list, before it is sent anything
     quiet_after: int = 50_000_000  # a client that said nothing for so long may be closed to make room
@@ -262,9 +262,9 @@
     kill_spare: int = 250_000_000  # so long before that all that is open is answered
     half_close: int = 150_000_000  # a client that ends its sending side may have gone: nothing is begun later
 
-    def pause(self, row: int) -> int:
+    def backoff(self, row: int) -> int:
         """How long to wait after so many failures in a row."""
-        return min(row - 1, self.pauses) * self.again_after // self.pauses
+        return min(row - 1, self.backoff_steps) * self.again_after // self.backoff_steps
 
 
 @dataclass(frozen=True, slots=True)
--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -84,18 +84,18 @@
         self.votes[name] = now + self.rel["ballot_ttl"], vote.verdict
         return i.Outcome.OK
 
-    def standing(self, now: int, verdict: i.Verdict) -> int:
+    def supervised(self, now: int, verdict: i.Verdict) -> int:
         return sum(until > now and said is verdict for until, said in self.votes.values())
 
     def tally(self, now: int, all_up_since: int) -> bool:
         """Whether the state has changed."""
         state = self.state
         if state.phase in (i.Phase.TRIAL, i.Phase.RELEASED) and (
-                self.standing(now, i.Verdict.BACK) >= self.rel["to_abort"]):
+                self.supervised(now, i.Verdict.BACK) >= self.rel["to_abort"]):
             self.change(now, i.Phase.GOING_BACK, state.stage)
             return True
         baked = now >= max(self.since, all_up_since) + self.rel["min_dwell"]
-        enough = self.standing(now, i.Verdict.ON) >= self.rel["ayes_needed"]
+        enough = self.supervised(now, i.Verdict.ON) >= self.rel["ayes_needed"]
         if state.phase is not i.Phase.TRIAL or not (baked and enough):
             return False
         last = state.stage + 1 == len(self.rel["stage_cap"])
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -9,7 +9,7 @@
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import Answer, BadRequest, Job
 from loftroute.relay.module import Module
-from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Scheduler, Task, standing
+from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Scheduler, Task, supervised
 from loftroute.runtime.stream import Listener, Stream
 
 
@@ -333,7 +333,7 @@
         self.malformed = self.crowded = self.halves = self.turned = self.thinned = 0
         self.bad = 0
         self.closing = False
-        self._task = standing(scheduler, "listener", self._run)
+        self._task = supervised(scheduler, "listener", self._run)
         self._trim()
 
     def _run(self) -> None:
@@ -344,7 +344,7 @@
                 now = self.scheduler.clock.now()
                 self._shut_since = self._shut_since or now
                 if now - self._shut_since > self.config.transport.patience // 2:
-                    self._turn_away()
+                    self._shed_load()
                 self._listener.rest(self.config.transport.rest)
             self._listener.wait()
 
@@ -375,7 +375,7 @@
                 self.thinned += 1
                 connection.close()
 
-    def _turn_away(self) -> None:
+    def _shed_load(self) -> None:
         """Nobody who is here can be closed, and who waits outside must not wait for ever."""
         transport = self.config.transport
         for _ in range(transport.pipelined):
@@ -436,7 +436,7 @@
     def close(self) -> None:
         """Take what still waits, then no more; each connection ends once it is between requests."""
         if not self._accept_all():
-            self._turn_away()
+            self._shed_load()
         self.scheduler.cancel(self._task)
         self._listener.close()
         self.closing = True
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -54,7 +54,7 @@
                 self._hang_up()
                 if not self._moved:
                     self._broken(problem)
-                    self._scheduler.sleep(self._transport.pause(self._row))
+                    self._scheduler.sleep(self._transport.backoff(self._row))
 
     def _orders(self) -> None:
         while self.mailbox.items:
--- a/loftroute/relay/rests.py
+++ b/loftroute/relay/keepalive.py
@@ -5,10 +5,10 @@
 MS = 1_000_000  # nanoseconds
 
 
-class Rests:
-    """Some machines on the way drop a connection that rests, without a word: the next request on it is reset.
+class KeepAlive:
+    """Some machines on the way drop a connection that is idle, without a word: the next request on it is reset.
 
-    Rests are told apart by doublings of a millisecond; the first place stands for new connections. Where
+    Idle times are told apart by doublings of a millisecond; the first place stands for new connections. Where
     clearly more of them break than of the new ones, none is used after such a rest, for a while.
     """
 
@@ -29,7 +29,7 @@
         place = self._place(rest)
         self._used[place] += 1
         self._broke[place] += broke
-        if self._used[place] >= 8 * self._transport.rests_seen:  # what was long ago counts less
+        if self._used[place] >= 8 * self._transport.keepalive_seen:  # what was long ago counts less
             self._used[place] //= 2
             self._broke[place] //= 2
         if broke and place > 1:
@@ -39,14 +39,14 @@
         return self._broke[place] / max(self._used[place], 1)
 
     def _judge(self, place: int, now: int) -> None:
-        seen, bound = self._transport.rests_seen, self._transport.rests_break + 2 * self._share(0)
+        seen, bound = self._transport.keepalive_seen, self._transport.keepalive_break + 2 * self._share(0)
         if self._used[place] >= seen and self._share(place) > bound:
             self.limit = min(self.limit, MS << place - 2)
-            self._until = now + self._transport.rests_kept
+            self._until = now + self._transport.keepalive_kept
 
     def _relax(self, now: int) -> None:
-        """Things may have changed: rests up to twice as long are tried again, not all at once."""
+        """Things may have changed: idle times up to twice as long are tried again, not all at once."""
         self.limit = min(2 * self.limit, self._transport.idle)
-        self._until = now + self._transport.rests_kept
+        self._until = now + self._transport.keepalive_kept
         place = self._place(self.limit - 1)
         self._used[place] = self._broke[place] = 0
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -20,7 +20,7 @@
 from loftroute.relay.platform import Changes, Votes
 from loftroute.relay.units import Units
 from loftroute.runtime.clock import Clock
-from loftroute.runtime.scheduler import MS, Scheduler, Ticks, standing
+from loftroute.runtime.scheduler import MS, Scheduler, Ticks, supervised
 
 
 class Part(Protocol):
@@ -50,8 +50,8 @@
 
     def start(self) -> None:
         """All actors stand; `run` then turns the hub."""
-        self._guard = standing(self.scheduler, "lifecycle", self._live)
-        self._reloader = standing(self.scheduler, "reload", self._reload)
+        self._guard = supervised(self.scheduler, "lifecycle", self._live)
+        self._reloader = supervised(self.scheduler, "reload", self._reload)
         self._begin()
 
     def run(self) -> None:
@@ -137,7 +137,7 @@
         longest = min(self.config.longest, transport.kill_longest) + transport.kill_after
         end = asked + longest - transport.kill_spare
         self.module.end_by(end)
-        logger.info("ending: {} requests open, {} clients", len(self.module.open),
+        logger.info("graceful shutdown: {} requests open, {} clients", len(self.module.open),
                     len(self.clients.connections))
         while clock.now() < min(asked + transport.drain_most, end):
             quiet = clock.now() - max(self.clients.last_accept, asked) >= transport.drain_quiet
--- a/loftroute/relay/platform.py
+++ b/loftroute/relay/platform.py
@@ -7,7 +7,7 @@
 from loftroute.protocol import ProtocolError, http1, pipeline
 from loftroute.protocol.catalog import Address
 from loftroute.relay.module import Module
-from loftroute.runtime.scheduler import Mailbox, Scheduler, Task, actor, standing
+from loftroute.runtime.scheduler import Mailbox, Scheduler, Task, actor, supervised
 from loftroute.runtime.stream import Closed, Expired, Stream
 
 
@@ -26,7 +26,7 @@
 
     def start(self) -> None:
         address = self._address
-        self._tasks.append(standing(self._scheduler, "changes", lambda: self._run(address)))
+        self._tasks.append(supervised(self._scheduler, "changes", lambda: self._run(address)))
 
     def move(self, address: Address) -> None:
         if address != self._address:
@@ -41,7 +41,7 @@
                 self.failures += 1
                 self._row += 1
                 logger.debug("changes: {}", problem)
-            self._scheduler.sleep(self._transport.pause(self._row))
+            self._scheduler.sleep(self._transport.backoff(self._row))
 
     def _stands(self, address: Address) -> None:
         """Told by the latest address: what follows the earlier ones ends."""
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -10,7 +10,7 @@
 from loftroute.protocol import ProtocolError, resp
 from loftroute.protocol.catalog import Address, Listing
 from loftroute.protocol.jobs import Answer, Job, answer
-from loftroute.relay.rests import Rests
+from loftroute.relay.keepalive import KeepAlive
 from loftroute.runtime.scheduler import Mailbox, Scheduler, actor
 from loftroute.runtime.stream import Closed, Expired, Stream
 
@@ -66,8 +66,8 @@
         self.address: Address | None = None  # where it leads to, and since when it stands
         self.born = 0
         self.dialling, self._begun, self._answered = True, False, False
-        self._rests_since = self._scheduler.looked
-        self._rest: int | None = None  # how long it had rested before its attempt; None where it is new
+        self._idle_since = self._scheduler.looked
+        self._idle_for: int | None = None  # how long it had rested before its attempt; None where it is new
         unit.pool.open += 1
         self.task = self._scheduler.spawn(f"unit {unit.server}", self._run)
 
@@ -106,7 +106,7 @@
         """Write the request and read its answer; whether the connection is good for another."""
         if not self._begun and self._stream.stale():
             self._drop()  # while it was idle it was closed, or said what nobody asked: nothing was sent
-            self._rest = None
+            self._idle_for = None
             self._dial()
         stream = self._stream
         try:
@@ -147,7 +147,7 @@
             if result.outcome is i.Outcome.FULL and not clean:  # was it a refusal at all?
                 self._pool.malformed += 1
                 result = Answer(i.Outcome.RESET)
-        self._pool.rests.ended(self._rest, broke, self._scheduler.looked)
+        self._pool.keepalive.ended(self._idle_for, broke, self._scheduler.looked)
         if not clean:
             self._drop()  # before another attempt can be sent: else that is a second copy
         if result.outcome is i.Outcome.TIMEOUT:
@@ -157,9 +157,9 @@
 
     def _wait_idle(self) -> bool:
         """Wait idle for the next attempt; False once the connection has ended or was idle for long."""
-        self._begun, self._rests_since = False, self._scheduler.looked
-        until = self._rests_since + self._pool.rests.limit
-        if not self._unit.rests(self):
+        self._begun, self._idle_since = False, self._scheduler.looked
+        until = self._idle_since + self._pool.keepalive.limit
+        if not self._unit.keeps(self):
             return False
         while self.attempt is None:
             self._stream.wait(until)
@@ -199,18 +199,18 @@
     def settles(self) -> int:
         """From when it may be used again: a second copy of its last answer, or noise behind it, may come some
         milliseconds late, and would else be read as the answer to the next request."""
-        return self._rests_since + (self._pool.transport.settle if self._answered else 0)
+        return self._idle_since + (self._pool.transport.settle if self._answered else 0)
 
     @property
-    def rest(self) -> int:
+    def idle_for(self) -> int:
         """How long it has been idle."""
-        return self._scheduler.looked - self._rests_since
+        return self._scheduler.looked - self._idle_since
 
     def take(self, attempt: Attempt) -> None:
         """An idle connection's next attempt. It is written at once, since nothing stands before it; the task
         is woken by the answer, or to go on where not all was written."""
         self.attempt, attempt.connection = attempt, self
-        stream, self._rest = self._stream, self.rest
+        stream, self._idle_for = self._stream, self.idle_for
         if stream.look():
             self._pool.unasked += 1
         else:
@@ -277,13 +277,13 @@
         looked = self.pool.scheduler.looked  # what came before then was seen
         for connection in reversed(self.idle):
             if connection.settles <= looked:
-                if connection.rest > self.pool.rests.limit:
+                if connection.idle_for > self.pool.keepalive.limit:
                     return None  # it ends by itself, as do the older ones
                 self.idle.remove(connection)
                 return connection
         return None
 
-    def rests(self, connection: Connection) -> bool:
+    def keeps(self, connection: Connection) -> bool:
         """Whether a connection that is free is kept. One that was out while the unit left the list, or while
         another came under its id, leads to what the list no longer tells of."""
         if self.ended or not self._leads_here(connection):
@@ -377,7 +377,7 @@
     ) -> None:
         self.scheduler, self.transport, self.report = scheduler, transport, report
         self._bound = bound
-        self.rests = Rests(transport)
+        self.keepalive = KeepAlive(transport)
         self.units: dict[int, Unit] = {}
         self.open = 0  # connections, each with its descriptor
         self.dials = 0
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -284,7 +284,7 @@
         return True
 
 
-def standing(scheduler: Scheduler, name: str, run: Callable[[], None], pause: int = 100 * MS) -> Task:
+def supervised(scheduler: Scheduler, name: str, run: Callable[[], None], pause: int = 100 * MS) -> Task:
     """A task that the relay can't do without: where it fails it is told, and begun anew after a pause."""
 
     def again_and_again() -> None:
@@ -299,6 +299,6 @@
 
 
 def actor(scheduler: Scheduler, name: str, mailbox: Mailbox[Any], run: Callable[[], None]) -> Task:
-    """A standing task that is woken by its mailbox."""
-    mailbox.owner = standing(scheduler, name, run)
+    """A supervised task that is woken by its mailbox."""
+    mailbox.owner = supervised(scheduler, name, run)
     return mailbox.owner
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -74,7 +74,7 @@
         raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
                "settings": setup(obligations={"drain_grace": grace})}
         transport = config.read(raw, {}).transport
-        assert transport.watch_again + transport.watch_grace + transport.pause(9) <= most
+        assert transport.watch_again + transport.watch_grace + transport.backoff(9) <= most
 
 
 def test_a_source_that_counts_anew_is_followed_again_in_time(world):
--- a/tests/test_crossings_runtime.py
+++ b/tests/test_crossings_runtime.py
@@ -1,6 +1,6 @@
 """Faults in the tasks that a relay can't do without."""
 
-from loftroute.runtime.scheduler import Scheduler, standing
+from loftroute.runtime.scheduler import Scheduler, supervised
 from tests.stepped import MS, Clock, ask
 
 
@@ -25,7 +25,7 @@
         if len(runs) == 1:
             raise KeyError("once")
         scheduler.park()
-    standing(scheduler, "needed", run)
+    supervised(scheduler, "needed", run)
     scheduler.turn(clock.now())
     clock.time += 200 * MS
     scheduler.turn(clock.now())
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -10,7 +10,7 @@
 from loftroute.decision import interface as i
 from loftroute.protocol import jobs
 from loftroute.protocol.catalog import Address, Listing
-from loftroute.relay.rests import Rests
+from loftroute.relay.keepalive import KeepAlive
 from loftroute.relay.units import Attempt, Units
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import Scheduler
@@ -142,7 +142,7 @@
 
 
 def test_rests_after_which_connections_break_are_learnt_and_tried_again_in_time():
-    rests = Rests(Transport())
+    rests = KeepAlive(Transport())
     longest, now = rests.limit, 0
     for n in range(400):  # one in twelve breaks whatever it did before; half of those that rested for long
         rests.ended(None, n % 12 == 0, now)
@@ -158,7 +158,7 @@
 
 
 def test_where_connections_break_alike_after_any_rest_all_are_used():
-    rests = Rests(Transport())
+    rests = KeepAlive(Transport())
     for n in range(400):
         for rest in (None, 5 * MS, 300 * MS, 2 * SECOND):
             rests.ended(rest, n % 7 == 0, 0)
