Shutdown: what is given up is refused where a repeat is harmless, with when to come back

Seen on re-reading `Module.give_up`: all that was open at the relay's end got "-ERR failed", also what was safe to repeat or had never been written to a unit. The client of such a request may come again at once, and is told so now, with the time to come back where the settings allow it.

--- a/loftroute/relay/keepalive.py
+++ b/loftroute/relay/keepalive.py
@@ -6,7 +6,7 @@
 
 
 class KeepAlive:
-    """Some machines on the way drop a connection that is idle, without a word: the next request on it is reset.
+    """Some machines on the way drop an idle connection without a word: the next request on it is reset.
 
     Idle times are told apart by doublings of a millisecond; the first place stands for new connections. Where
     clearly more of them break than of the new ones, none is used after such a rest, for a while.
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -176,9 +176,11 @@
         self._end = when
 
     def give_up(self) -> None:
-        """The end: whatever is still open has failed. A kill would leave its client without a word."""
+        """The end: whatever is still open is answered, as refused where a repeat is harmless. A kill would
+        leave its client without a word."""
         for held in list(self.open.values()):
-            self.withdraw(held.job, False)
+            safe = self._config.names.effects[held.job.cls] is i.Effect.SAFE
+            self.withdraw(held.job, safe or not any(attempt.written for attempt in held.attempts))
             for attempt in held.attempts:
                 if not (attempt.ended or attempt.written):
                     attempt.cancel()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -96,15 +96,18 @@
     assert it.units["u0"].asks() == 0 and not it.stopped
 
 
-def test_what_is_still_open_is_answered_before_the_kill_and_the_relay_ends_by_itself(world):
-    it = world(services=[{"name": "read", "effect": "safe", "aim": 9 * SECOND, "hard_limit": 15 * SECOND}])
+@pytest.mark.parametrize(("kind", "effect", "answer"), [
+    ("read", "safe", b"-BUSY 250\r\n"), ("pay", "unsafe", b"-ERR failed\r\n")])
+def test_what_is_still_open_is_answered_before_the_kill_and_the_relay_ends_by_itself(
+        world, kind, effect, answer):
+    it = world(services=[{"name": kind, "effect": effect, "aim": 9 * SECOND, "hard_limit": 15 * SECOND}])
     client = it.client()
-    client.sendall(ask(d=14000))
+    client.sendall(ask(d=14000, kind=kind))
     it.until(lambda: it.units["u0"].asks())
     begun = it.clock.now()
     it.closing()
     it.until(lambda: it.stopped or it.step(20, 1))
-    assert got(client) == b"-ERR failed\r\n"
+    assert got(client) == answer
     assert 3 * SECOND < it.clock.now() - begun < 3_700 * MS  # SIGKILL may come then
 
 
@@ -128,7 +131,7 @@
     it.turn(3)
     it.closing()
     it.until(lambda: it.stopped or it.step(20, 1))
-    assert got(client).startswith(b"-") and ended(client)
+    assert got(client) == b"-BUSY 250\r\n" and ended(client)
     assert it.units["u0"].asks() == 0
 
 
