--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -198,3 +198,44 @@
     verb = "Q.ASK" if kind == "read" else "Q.DO"
     more = ",k=5c0f" if kind == "put" else ""
     return command(verb, key, f"{next(ids):016x}", f"c={kind},t=acme,d={d}{more}")
+
+
+def fill(unit: Unit) -> list[socket.socket]:
+    """Fill the queue of a unit made with a backlog of 0: dials to it stay under way until it is freed."""
+    socks = [socket.socket() for _ in range(3)]
+    for sock in socks:
+        sock.setblocking(False)
+        sock.connect_ex(unit.listener.getsockname())
+    unit.look = lambda reading=True: b""  # type: ignore[method-assign]
+    return socks
+
+
+def free(unit: Unit, socks: list[socket.socket]) -> None:
+    for sock in socks:
+        sock.close()
+    del unit.look  # type: ignore[method-assign]
+
+
+def slow_reader(it: Whole) -> tuple[socket.socket, Any]:
+    """A client with little room whose long answer is half written, and its connection at the relay."""
+    reader = it.client(buffer=4096)
+    connection = it.until(lambda: next(iter(it.relay.clients.connections), None))
+    connection._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    reader.sendall(ask())
+    served_at(it, b"Q.ASK", b"x" * 65000)
+    it.until(lambda: connection.unsent)
+    return reader, connection
+
+
+def long_request(it: Whole) -> tuple[socket.socket, Unit, Any]:
+    """A client that sends a long unsafe request; the one idle connection to u0 takes no more than a part."""
+    client, unit = it.client(), it.units["u0"]
+    client.sendall(ask("warm"))
+    served_at(it, b"warm")
+    it.until(lambda: got(client) == value(b"V"))
+    it.step(30)
+    idle, = it.relay.units.units[1].idle
+    idle._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
+    client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+    return client, unit, idle
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -6,7 +6,22 @@
 import pytest
 
 from loftroute.decision import interface as i
-from tests.stepped import MS, SECOND, Unit, ask, ended, got, reset, served, served_at, value
+from tests.stepped import (
+    MS,
+    SECOND,
+    Unit,
+    ask,
+    ended,
+    fill,
+    free,
+    got,
+    long_request,
+    reset,
+    served,
+    served_at,
+    slow_reader,
+    value,
+)
 
 # ---- shutdown
 
@@ -152,32 +167,20 @@
 
 
 def full_unit(it):
-    """A unit whose queue is full: dials to it stay under way until it is freed."""
     unit = it.units["full"] = Unit(backlog=0)
-    fill = [socket.socket() for _ in range(2)]
-    for sock in fill:
-        sock.setblocking(False)
-        sock.connect_ex(unit.listener.getsockname())
-    unit.look = lambda reading=True: b""
     it.tell(generation=2)
-    return unit, fill
-
-
-def free(unit, fill):
-    for sock in fill:
-        sock.close()
-    del unit.look
+    return unit, fill(unit)
 
 
 def test_a_request_whose_attempt_dials_as_the_relay_ends_is_served(world):
     it = world(units=0)
-    slow, fill = full_unit(it)
+    slow, socks = full_unit(it)
     client = it.client()
     client.sendall(ask())
     it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
     it.terminate()
     it.turn(2)
-    free(slow, fill)
+    free(slow, socks)
     it.until(lambda: slow.asks() or it.step(20, 1))
     served_at(it, b"Q.ASK")
     it.until(lambda: got(client) == value(b"V"))
@@ -253,10 +256,10 @@
 @pytest.mark.parametrize("when", ["dialling", "answered"])
 def test_a_client_that_leaves_while_its_attempt_dials_or_is_answered_costs_no_other(world, how, when):
     it = world(units=0)
-    unit, fill = full_unit(it)
+    unit, socks = full_unit(it)
     gone, stays = it.client(), it.client()
     if when == "answered":
-        free(unit, fill)
+        free(unit, socks)
     gone.sendall(ask("gone"))
     if when == "dialling":
         it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
@@ -268,7 +271,7 @@
     reset(gone) if how == "reset" else gone.close()
     it.turn(4)
     if when == "dialling":
-        free(unit, fill)
+        free(unit, socks)
         it.step(200)
     assert it.relay.module.open == {} and len(it.relay.clients.connections) == 1
     it.step(200)
@@ -393,12 +396,7 @@
 
 def test_a_client_that_takes_a_little_now_and_then_is_cut_off_in_the_end(world):
     it = world()
-    reader = it.client(buffer=4096)
-    connection = it.until(lambda: next(iter(it.relay.clients.connections), None))
-    connection._stream._sock.setsockopt(1, 7, 4096)
-    reader.sendall(ask())
-    served_at(it, b"Q.ASK", b"x" * 65000)
-    it.until(lambda: connection.unsent)
+    reader, _ = slow_reader(it)
     begun = it.clock.now()
     while it.relay.clients.connections:
         it.step(250)
@@ -428,12 +426,7 @@
 
 def test_a_client_that_never_reads_is_cut_off(world):
     it = world()
-    reader = it.client(buffer=4096)
-    connection = it.until(lambda: next(iter(it.relay.clients.connections), None))
-    connection._stream._sock.setsockopt(1, 7, 4096)
-    reader.sendall(ask())
-    served_at(it, b"Q.ASK", b"x" * 65000)
-    it.until(lambda: connection.unsent)
+    slow_reader(it)
     for _ in range(30):
         it.step(100)
     assert not it.relay.clients.connections
@@ -501,15 +494,7 @@
 def test_a_request_whose_client_left_half_written_is_not_finished(world):
     """The unit takes no more than a part: the rest may not follow once the client has gone."""
     it = world(buffer=4096)
-    client, unit = it.client(), it.units["u0"]
-    client.sendall(ask("warm"))
-    served_at(it, b"warm")
-    it.until(lambda: got(client) == value(b"V"))
-    it.step(30)
-    idle, = it.relay.units.units[1].idle
-    idle._stream._sock.setsockopt(1, 7, 4096)  # SO_SNDBUF
-    head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
-    client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+    client, unit, idle = long_request(it)
 
     def half():
         attempts = [a for held in it.relay.module.open.values() for a in held.attempts]
--- a/tests/test_crossings_units.py
+++ b/tests/test_crossings_units.py
@@ -10,7 +10,21 @@
 from loftroute.relay.units import Attempt
 from loftroute.runtime.stream import Stream
 from tests.harness import Relay, named
-from tests.stepped import MS, SECOND, Unit, ask, ended, got, reset, served, served_at, value
+from tests.stepped import (
+    MS,
+    SECOND,
+    Unit,
+    ask,
+    ended,
+    fill,
+    free,
+    got,
+    long_request,
+    reset,
+    served,
+    served_at,
+    value,
+)
 
 
 def attempt_within(it, length, done):
@@ -343,15 +357,7 @@
 
 def test_a_half_written_request_is_not_finished_once_its_builds_cap_has_fallen(world):
     it = world(buffer=4096)
-    client, unit = it.client(), it.units["u0"]
-    client.sendall(ask("warm"))
-    served_at(it, b"warm")
-    it.until(lambda: got(client) == value(b"V"))
-    it.step(30)
-    idle, = it.relay.units.units[1].idle
-    idle._stream._sock.setsockopt(1, 7, 4096)  # SO_SNDBUF
-    head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
-    client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
+    _, unit, idle = long_request(it)
     while not (idle._stream and idle._stream.unsent):
         it.scheduler.turn(it.clock.now())
     attempt = idle.attempt
@@ -492,20 +498,14 @@
 def test_a_deadline_that_comes_while_dialling_is_answered_and_the_dial_that_comes_up_late_says_nothing(world):
     it = world(backlog=0)
     unit = it.units["u0"]
-    fill = [socket.socket() for _ in range(3)]
-    for sock in fill:
-        sock.setblocking(False)
-        sock.connect_ex(unit.listener.getsockname())
-    unit.look = lambda reading=True: b""
+    socks = fill(unit)
     client = it.client()
     client.sendall(ask("late", kind="pay", d=150))
     it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
     begun = it.clock.now()
     answer = it.until(lambda: got(client) or it.step(10, 1))
     assert answer.startswith(b"-") and it.clock.now() - begun <= 150 * MS
-    for sock in fill:
-        sock.close()
-    del unit.look
+    free(unit, socks)
     it.step(100)
     assert unit.asks() == 0 and it.relay.units.open == 0
 
@@ -544,19 +544,13 @@
 def test_a_drain_told_while_an_attempt_dials_sends_it_elsewhere(world, state):
     it = world(backlog=0)
     unit = it.units["u0"]
-    fill = [socket.socket() for _ in range(3)]
-    for sock in fill:
-        sock.setblocking(False)
-        sock.connect_ex(unit.listener.getsockname())
-    unit.look = lambda reading=True: b""
+    socks = fill(unit)
     client = it.client()
     client.sendall(ask("moved", kind="pay"))
     it.until(lambda: any(c.dialling for c in it.relay.units.units[1].connections))
     it.units["u1"] = Unit()
     it.tell(generation=2, whole=False, u0=state, u1="SERVING")
-    for sock in fill:
-        sock.close()
-    del unit.look
+    free(unit, socks)
     it.until(lambda: it.units["u1"].asks() or it.step(10, 1))
     assert unit.asks() == 0
     served_at(it, b"moved")
