--- a/loftroute/bench/codec.py
+++ b/loftroute/bench/codec.py
@@ -67,8 +67,14 @@
     if not 0 <= build < BUILDS:
         raise ValueError(f"not a build: {p[1]!r}")
     return i.ServerEntry(
-        zone=number(p[0]), build=build, state=STATES[p[2]], started=number(p[3]),
-        weight=1.0 if p[4] == "-" else float(p[4]), server=int(p[5]), kind=number(p[6]), cell=number(p[7]),
+        zone=number(p[0]),
+        build=build,
+        state=STATES[p[2]],
+        started=number(p[3]),
+        weight=1.0 if p[4] == "-" else float(p[4]),
+        server=int(p[5]),
+        kind=number(p[6]),
+        cell=number(p[7]),
     )
 
 
@@ -76,22 +82,38 @@
     bits = number(p[6])
     hint = number(p[4])
     return i.RequestArrived(
-        request=request_id(p[0]), key=None if p[1] == "-" else p[1], tenant=number(p[2]), cls=int(p[3]),
-        hint=hint if bits & 1 and hint > 0 else None, left=int(p[5]),
-        repeat=bool(bits & 2), write=bool(bits & 4),
+        request=request_id(p[0]),
+        key=None if p[1] == "-" else p[1],
+        tenant=number(p[2]),
+        cls=int(p[3]),
+        hint=hint if bits & 1 and hint > 0 else None,
+        left=int(p[5]),
+        repeat=bool(bits & 2),
+        write=bool(bits & 4),
     )
 
 
 def _outcome(p: list[str]) -> i.AttemptEnded:
     return i.AttemptEnded(
-        request_id(p[0]), int(p[1]), int(p[2]), OUTCOMES[p[3]], number(p[4]), flag(p[5]), row(p[6]),
+        request_id(p[0]),
+        int(p[1]),
+        int(p[2]),
+        OUTCOMES[p[3]],
+        number(p[4]),
+        flag(p[5]),
+        row(p[6]),
     )
 
 
 def _stage(p: list[str]) -> i.ReleaseNews:
     return i.ReleaseNews(
-        phase=i.Phase(number(p[0])), age=number(p[1]), stage=number(p[2]), status=OUTCOMES[p[3]],
-        cap=0.0 if p[4] == "-" else float(p[4]), build=number(p[5]), reply=flag(p[6]),
+        phase=i.Phase(number(p[0])),
+        age=number(p[1]),
+        stage=number(p[2]),
+        status=OUTCOMES[p[3]],
+        cap=0.0 if p[4] == "-" else float(p[4]),
+        build=number(p[5]),
+        reply=flag(p[6]),
     )
 
 
@@ -105,8 +127,17 @@
     "HEALTH_RESULT": (4, lambda p: i.ProbeEnded(int(p[1]), OUTCOMES[p[0]], number(p[2]), row(p[3]))),
     "WHISPER": (2, lambda p: i.PeerMessage(number(p[0]), b"" if p[1] == "-" else bytes.fromhex(p[1]))),
     "RELEASE_STATE": (7, _stage),
-    "SCORECARD": (6, lambda p: i.Tally(build=number(p[0]), failed=number(p[1]), age=number(p[2]),
-                                       cls=number(p[3]), sampled=number(p[4]), latency=number(p[5]))),
+    "SCORECARD": (
+        6,
+        lambda p: i.Tally(
+            build=number(p[0]),
+            failed=number(p[1]),
+            age=number(p[2]),
+            cls=number(p[3]),
+            sampled=number(p[4]),
+            latency=number(p[5]),
+        ),
+    ),
     "DISPUTED": (3, lambda p: i.AnswerDisputed(int(p[0]), number(p[1]), number(p[2]))),
 }
 
--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -318,8 +318,11 @@
 
 
 def read(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
-    told = {key: environ[f"RELAY_{key.upper()}"] for key in ("name", "listen", "discovery")
-            if environ.get(f"RELAY_{key.upper()}")}
+    told = {
+        key: environ[f"RELAY_{key.upper()}"]
+        for key in ("name", "listen", "discovery")
+        if environ.get(f"RELAY_{key.upper()}")
+    }
     for key in told:
         if key != "name":
             _environment_address(key, told[key])
@@ -340,9 +343,11 @@
         known=_checked("known", listed.listing, top.raw("known"), True) if top.has("known") else None,
         catalog=listed,
         settings=chosen,
-        names=Names(_numbered(tuple(c.name for c in chosen.classes)),
-                    _numbered(tuple(p.text("name", "") for p in setup.sections("parties"))),
-                    tuple(c.effect for c in chosen.classes)),
+        names=Names(
+            _numbered(tuple(c.name for c in chosen.classes)),
+            _numbered(tuple(p.text("name", "") for p in setup.sections("parties"))),
+            tuple(c.effect for c in chosen.classes),
+        ),
         longest=max((c.deadline for c in chosen.classes), default=0),
         transport=_transport(setup),
     )
@@ -389,11 +394,19 @@
         raise ConfigError(f"limits.sockets: at least 60 wanted, found {rest + OWN_DESCRIPTORS}")
     units, base = rest * 9 // 20, Transport()
     memory = max(limits.whole("memory_mb", 192) << 20, 0) - base.program
-    most = min(rest - units, max(64, memory // 2 // (2 * resp.VALUE_LIMIT)),
-               int(base.open_per_core * limits.number("cores", 1.0)))
+    most = min(
+        rest - units,
+        max(64, memory // 2 // (2 * resp.VALUE_LIMIT)),
+        int(base.open_per_core * limits.number("cores", 1.0)),
+    )
     most = min(most, ceilings.whole("max_open", 0) or most)
-    return Budget(clients=rest - units, resting=(rest - units) // 8, units=units, open=most,
-                  unsent=max(memory // 4, 2 * resp.VALUE_LIMIT))
+    return Budget(
+        clients=rest - units,
+        resting=(rest - units) // 8,
+        units=units,
+        open=most,
+        unsent=max(memory // 4, 2 * resp.VALUE_LIMIT),
+    )
 
 
 def _transport(setup: Section) -> Transport:
--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -248,8 +248,18 @@
 
 
 Event = (
-    Started | ServerList | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired
-    | ProbeEnded | PeerMessage | ReleaseNews | Tally | AnswerDisputed
+    Started
+    | ServerList
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+    | ReleaseNews
+    | Tally
+    | AnswerDisputed
 )
 
 
@@ -326,6 +336,4 @@
     text: str
 
 
-Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Watch | Fetch | Vote | Log
-)
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Watch | Fetch | Vote | Log
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -86,7 +86,7 @@
         sums = self.sums
         sums.append(sums[-1] + value)
         if len(sums) > 4 * LONGEST:
-            del sums[:-2 * LONGEST - 1]
+            del sums[: -2 * LONGEST - 1]
         self.seen, self.length, self.half, t = self.seen + 1, self.length + 1, False, self.length + 1
         if value:
             self.last = t
@@ -98,8 +98,11 @@
         bound = nats * ((self.beside if beside else self.alone) * self.sigma) ** 2
         for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - (not self.rare)):
             k = sums[-1] - sums[-1 - (w := 1 << j)]  # in the window, above 0
-            stat = odd(k, self.rate * w) if self.rare else (
-                t / ((t - w) * w) * max(k - w / t * sums[-1], 0.0) ** 2)  # above 0: it fails more
+            stat = (
+                odd(k, self.rate * w)
+                if self.rare
+                else (t / ((t - w) * w) * max(k - w / t * sums[-1], 0.0) ** 2)
+            )  # above 0: it fails more
             if stat > bound / 4:
                 self.half = True
                 self.alarm |= stat > bound and self._stands_out(k, w, look, bound)
@@ -109,8 +112,11 @@
         n = min(len(peers), max(w, PEERLESS))  # the latest, as many as the window, so that a jolt meets both
         failing = [server for at, server in self.bad if at > self.length - max(w, 2 * PREFIX)]
         usual, spread = sum(peers[-n:]) / max(n, 1), len(set(failing)) >= need and len(failing) >= 3
-        apart = odd(k, (usual * n + 0.5) / (n + 1) * w) if self.rare else w * n / (w + n) * (
-            k / w - usual) ** 2 * (k / w > usual * (1 + (self.kind == "slow")))  # long windows see all
+        apart = (
+            odd(k, (usual * n + 0.5) / (n + 1) * w)
+            if self.rare
+            else w * n / (w + n) * (k / w - usual) ** 2 * (k / w > usual * (1 + (self.kind == "slow")))
+        )  # long windows see all
         return spread and (n < PEERLESS or apart > bound / 4)
 
 
@@ -130,9 +136,16 @@
         self.nays = max(self.rel.nays, 1) if self.rel.control is i.Control.SHARE else 1  # send a build back
         self.scans = self._scans([])
         self._split()
-        self.on = {i.Started: self._start, i.ServerList: self._list, i.RequestArrived: self._arrive,
-                   i.AttemptEnded: self._ended, i.ClientGone: self.forget, i.TimerFired: self._timer,
-                   i.ReleaseNews: self._release, i.AnswerDisputed: self._disputed}
+        self.on = {
+            i.Started: self._start,
+            i.ServerList: self._list,
+            i.RequestArrived: self._arrive,
+            i.AttemptEnded: self._ended,
+            i.ClientGone: self.forget,
+            i.TimerFired: self._timer,
+            i.ReleaseNews: self._release,
+            i.AnswerDisputed: self._disputed,
+        }
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         if now > self.now:  # an own tick long overdue: this instance stood still, and finds all at once
@@ -232,21 +245,31 @@
         """Rule 4 as this instance's part of the budget: what warm servers really finish for it, times the
         multiple and the share of capacity that a cold one has. An overload does not raise what is done."""
         budget = COLD_PART * self.cfg.fall_multiple * server.warmth * self.usually * server.entry.weight
-        return server.warmth >= 1.0 or (sent := server.sent.total(self.now)) + work <= (
-            budget * self.cfg.fall) or (not server.out and not sent)
+        return (
+            server.warmth >= 1.0
+            or (sent := server.sent.total(self.now)) + work <= (budget * self.cfg.fall)
+            or (not server.out and not sent)
+        )
 
     def _allowed(self, request: Request) -> list[Server]:
         """The servers at which the rules allow an attempt of this request now."""
         first = ran(request)
         least = self.forward.get(request.key, 0) if self.news and self.news.phase in JUDGED else 0
-        builds = [b for b in self.builds  # keys only go forward, until the build goes back
-                  if b >= least and (b not in self.trials or self._exposed(b, request.cls))]
+        builds = [
+            b
+            for b in self.builds  # keys only go forward, until the build goes back
+            if b >= least and (b not in self.trials or self._exposed(b, request.cls))
+        ]
         found = [s for s in self.ready if s.entry.build in builds and self._bears(s, request.work)]
         if first is None or request.rule.effect is not Effect.KEYED:
             return found
         group, entry = request.rule.group, first.entry
-        return [s for s in found if group is Group.ALL or (
-            s.entry.zone == entry.zone if group is Group.ZONE else s.entry.cell == entry.cell)]
+        return [
+            s
+            for s in found
+            if group is Group.ALL
+            or (s.entry.zone == entry.zone if group is Group.ZONE else s.entry.cell == entry.cell)
+        ]
 
     # ---- routing
 
@@ -266,8 +289,15 @@
         age = int(min(max(usual - event.left, 0), self.stall))
         self.patience[cls] += (0.1 if event.left > usual else 0.005) * (event.left - usual)
         request = self.requests[event.request] = Request(
-            event.request, event.key, cls, rule, work, self.now - age, self.now - age + aim,
-            self.now + event.left)
+            event.request,
+            event.key,
+            cls,
+            rule,
+            work,
+            self.now - age,
+            self.now - age + aim,
+            self.now + event.left,
+        )
         past = self.now + self.margin[cls] > request.aim_at and not rule.late_worth
         (self._give_up if past or self._crowded(request, over or event.repeat) else self._place)(request)
 
@@ -287,8 +317,12 @@
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
         lossy = self.noise > LOSSY and self.clean < EVER * self.tempo  # what is lost waits for nothing
-        return self.wait > limit and not lossy and out * self.cfg.instances > len(self.alive) and (
-            self.now - self.born > 2 * SECOND)
+        return (
+            self.wait > limit
+            and not lossy
+            and out * self.cfg.instances > len(self.alive)
+            and (self.now - self.born > 2 * SECOND)
+        )
 
     def _heaped(self) -> bool:
         return 0 < self.awake > self.now - SECOND // 2  # came at once: no steady flow, no server's lateness
@@ -309,9 +343,11 @@
     def _choose(self, servers: list[Server], request: Request, sums: list[float] = ()) -> Server | None:
         """Two random choices, by size and warmth; the better by outstanding work over learnt speed. With the
         weights of a whole side, what does not fit is drawn again; None where too much of it does not."""
+
         def cost(s: Server) -> float:
             at = (s.load + request.work) * s.expect / (s.warmth * s.entry.weight)
             return at * self.far if s.entry.zone != self.cfg.zone else at
+
         found, last, weights = [], len(servers) - 1, sums or self._weigh(servers)
         for _ in range(8 if sums else 2):
             server = servers[bisect(weights, self.random.random() * weights[-1], 0, last)]
@@ -325,9 +361,12 @@
 
     def _fits(self, s: Server, request: Request) -> bool:
         """What _allowed and _place ask of a list, for one server and a first attempt."""
-        return self._serves(s) and (
-            s.entry.build not in self.trials or self._exposed(s.entry.build, request.cls)) and not (
-            self.alarm and s.entry.build == self.news.build) and self._bears(s, request.work)
+        return (
+            self._serves(s)
+            and (s.entry.build not in self.trials or self._exposed(s.entry.build, request.cls))
+            and not (self.alarm and s.entry.build == self.news.build)
+            and self._bears(s, request.work)
+        )
 
     def _known_until(self, request: Request) -> float:
         """When units begin to forget an idempotency key, counted from the first attempt that may have run."""
@@ -428,8 +467,13 @@
                 self._judge(attempt, 1, 0, inf)
             server.heard, server.doubts = self.now, 0
         ratio = min(took / max(attempt.work, 1.0), 30.0)
-        if ghost := outcome is Outcome.TIMEOUT and server.favour > 0.5 and (  # else lost, not waiting
-                self.now - max(server.heard, attempt.sent) < SILENT):
+        if (
+            ghost := outcome is Outcome.TIMEOUT
+            and server.favour > 0.5
+            and (  # else lost, not waiting
+                self.now - max(server.heard, attempt.sent) < SILENT
+            )
+        ):
             self.ghosts.add(self.now, 1.0)
         if request and (outcome is Outcome.OK or ghost) and self.answered.total(self.now) < ANSWERS:
             self.stay += 0.1 * (min(took, 2 * request.rule.aim) - self.stay)
@@ -467,8 +511,12 @@
         builds are judged together, that is an outcome: who meets a server once does not hear it again."""
         for server in self.servers.values():
             oldest = next(iter(server.out.values()), None)
-            if server.listed and oldest and not server.ejected_until and server.quiet(self.now) > max(
-                    SILENT, SILENT_PACE * self.pace * oldest.work):
+            if (
+                server.listed
+                and oldest
+                and not server.ejected_until
+                and server.quiet(self.now) > max(SILENT, SILENT_PACE * self.pace * oldest.work)
+            ):
                 if self.nays > 1 and not oldest.judged:
                     self._judge(oldest, 1, 0, (self.now - oldest.sent) / max(oldest.work, 1.0))
                     oldest.judged = True
@@ -500,8 +548,11 @@
             many = sum(s.entry.build == build and s.warmth >= 1.0 for s in self.ready)
             many = min(many, scan.seen)  # no more of them can have been met
             faulty = any(s.fail_rate > FAULTY for s in self.ready if s.entry.build < build)
-            return (max(3, 1 + many // 2) if faulty else min(many, 2 + many // 6),
-                    [scan.read(o) for o in earlier if o[0] > since and not long])
+            return (
+                max(3, 1 + many // 2) if faulty else min(many, 2 + many // 6),
+                [scan.read(o) for o in earlier if o[0] > since and not long],
+            )
+
         for scan in self.scans:
             # Being cold or crowded explains no error; slowness is held against peers in the same crowd.
             if scan.rare or (attempt.warm and (calm or scan.kind == "slow")):
@@ -570,7 +621,8 @@
         self.decided = self.decided or self.now
         same = stands and (ballot.stage, ballot.build, ballot.verdict) == (news.stage, news.build, wanted)
         if (same and ballot.until - self.now > RENEW_BEFORE * self.rel.vote_life) or (
-                self.now - self.drawn < SECOND):
+            self.now - self.drawn < SECOND
+        ):
             return
         self.drawn, calls = self.now, self.rel.calls_per_s
         others = calls * min(self.now - self.decided, self.rel.vote_life) / SECOND  # as many stand by now
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -179,9 +179,12 @@
     def beliefs(self) -> dict[str, int]:
         """What it takes to be so, for a look at whether it is."""
         listed = [server for server in self.servers.values() if server.listed]
-        return {"believed out": sum(len(server.out) for server in self.servers.values()),
-                "servers": len(listed), "set aside": sum(server.ejected_until > 0 for server in listed),
-                "seldom": sum(server.favour < 0.5 for server in listed)}
+        return {
+            "believed out": sum(len(server.out) for server in self.servers.values()),
+            "servers": len(listed),
+            "set aside": sum(server.ejected_until > 0 for server in listed),
+            "seldom": sum(server.favour < 0.5 for server in listed),
+        }
 
     def forget(self, event: ClientGone | AttemptEnded) -> None:
         """A request has ended."""
@@ -195,8 +198,7 @@
         for entry in event.entries:
             known = self.servers.get(entry.server)
             if known is None or entry.build != known.entry.build or entry.started > known.entry.started:
-                fresh = Server(entry, WindowSum(span), WindowSum(done_span), Pace(), self.pace,
-                               entry.started)
+                fresh = Server(entry, WindowSum(span), WindowSum(done_span), Pace(), self.pace, entry.started)
                 if known:
                     fresh.out, fresh.load, fresh.sent = known.out, known.load, known.sent
                 self.servers[entry.server] = known = fresh
@@ -205,8 +207,11 @@
 
     def _trim(self) -> None:
         """What no decision can turn on is forgotten, however many servers, builds and keys come and go."""
-        self.servers = {number: server for number, server in self.servers.items()
-                        if server.listed or server.out or server.sent.total(self.now)}
+        self.servers = {
+            number: server
+            for number, server in self.servers.items()
+            if server.listed or server.out or server.sent.total(self.now)
+        }
         builds = {server.entry.build for server in self.servers.values()}
         for build in sorted(self.outcomes.keys() - builds)[:-2]:  # the last that left may be the earlier one
             del self.outcomes[build]
--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -91,7 +91,8 @@
         """Whether the state has changed."""
         state = self.state
         if state.phase in (i.Phase.TRIAL, i.Phase.RELEASED) and (
-                self.supervised(now, i.Verdict.BACK) >= self.rel["to_abort"]):
+            self.supervised(now, i.Verdict.BACK) >= self.rel["to_abort"]
+        ):
             self.change(now, i.Phase.GOING_BACK, state.stage)
             return True
         baked = now >= max(self.since, all_up_since) + self.rel["min_dwell"]
@@ -106,8 +107,16 @@
 class Fleet:
     """So many instances over one set of units, one clock and one platform."""
 
-    def __init__(self, instances: int, units: int, seed: int = 1, rate: float = 0.0, work: int = 100 * MS,
-                 rough: float = 0.0, **changes: Any) -> None:
+    def __init__(
+        self,
+        instances: int,
+        units: int,
+        seed: int = 1,
+        rate: float = 0.0,
+        work: int = 100 * MS,
+        rough: float = 0.0,
+        **changes: Any,
+    ) -> None:
         raw = setup(instances=instances, **changes)
         self.settings, self.random = config.settings(raw), Random(seed)
         self.now, self.rate, self.work = 10 * SECOND, rate, work
@@ -117,8 +126,9 @@
         self.attempts: Counter[tuple[int, int]] = Counter()  # by unit and second
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count(1)
-        self.relays = [Balancer(replace(self.settings, me=n, zone=n % 2), seed * 1000 + n)
-                       for n in range(instances)]
+        self.relays = [
+            Balancer(replace(self.settings, me=n, zone=n % 2), seed * 1000 + n) for n in range(instances)
+        ]
         self.lives = [0] * instances  # a restart ends what was due in the life before
         self.weights = [1.0] * instances
         self.places, self.rough, self.starts = units, rough, 0
--- a/loftroute/lab/fleet_log.py
+++ b/loftroute/lab/fleet_log.py
@@ -53,10 +53,16 @@
         """What one relay had seen of a build when a stage ended, in the mean: so many of so many outcomes."""
         table = Table(f"Outcomes of a build a relay, in the mean over {self.relays} relays")
         for (build, stage), found in sorted(self.stages.items()):
+
             def mean(kind: str, part: int, found: list[dict[str, tuple[int, int]]] = found) -> float:
                 return sum(read[kind][part] for read in found) / len(found)
-            table.add(build=build, stage=stage, relays=len(found), **{
-                kind: f"{mean(kind, 0):.1f} of {mean(kind, 1):.1f}" for kind in KINDS})
+
+            table.add(
+                build=build,
+                stage=stage,
+                relays=len(found),
+                **{kind: f"{mean(kind, 0):.1f} of {mean(kind, 1):.1f}" for kind in KINDS},
+            )
         return table
 
     def course(self) -> Table:
--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -104,7 +104,8 @@
             self.go.wait(10)
         value = b"value of " + words[1]
         answer = {"busy": b"-BUSY\r\n", "fail": b"-ERR failed\r\n", "garbage": b"?what\r\n"}.get(
-            self.does, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value))
+            self.does, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+        )
         sock.sendall(answer)
         return True
 
@@ -171,8 +172,11 @@
             self.changed.notify_all()
 
     def listing(self, since: int = -1) -> dict[str, Any]:
-        raw = [{"instanceId": name, **{k: v for k, v in entry.items() if k != "at"}}
-               for name, entry in self.entries.items() if entry["at"] > since]
+        raw = [
+            {"instanceId": name, **{k: v for k, v in entry.items() if k != "at"}}
+            for name, entry in self.entries.items()
+            if entry["at"] > since
+        ]
         return {"generation": self.version, "reset": since < 0, "instances": raw}
 
     def get(self, handler: BaseHTTPRequestHandler) -> None:
@@ -262,8 +266,16 @@
         builds = changes.pop("builds", {})
         for name, unit in units.items():
             self.discovery.entries[name] = {
-                "hostPort": unit.address, "zone": "a", "machineType": "m", "cell": 0, "lifecycle": "SERVING",
-                "weight": 1.0, "startedAtMs": 0, "release": builds.get(name, 41), "at": 0}
+                "hostPort": unit.address,
+                "zone": "a",
+                "machineType": "m",
+                "cell": 0,
+                "lifecycle": "SERVING",
+                "weight": 1.0,
+                "startedAtMs": 0,
+                "release": builds.get(name, 41),
+                "at": 0,
+            }
         self.sockets = changes.pop("sockets", 256)
         self.news = changes.pop("news", None)
         self.product = changes.pop("product", None)  # the text of the product's settings
@@ -272,16 +284,25 @@
         zones = changes.pop("unit_zones", {})
         for name, zone in zones.items():
             self.discovery.entries[name]["zone"] = zone
-        self.settings = setup(instances=1, zones=["a", "b"], host_types=["m"],
-                              parties=[{"name": "acme", "allowance_per_s": 1000.0}], **changes)
+        self.settings = setup(
+            instances=1,
+            zones=["a", "b"],
+            host_types=["m"],
+            parties=[{"name": "acme", "allowance_per_s": 1000.0}],
+            **changes,
+        )
         self.start()
 
     def config(self) -> dict[str, Any]:
         return {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "pipeline": {"address": self.platform.address, "news": self.news or self.platform.state},
-            "known": self.discovery.listing(), "settings": self.settings,
+            "known": self.discovery.listing(),
+            "settings": self.settings,
         }
 
     def write(self, text: str | None = None) -> Path:
@@ -302,10 +323,17 @@
             run = f"exec {sys.executable} -B -m {self.program} run --settings {settings}"
         self.log = open(self.tmp / "log", "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT,
-            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_DISCOVERY": self.discovery.address,
-                 **self.env},
-            stdout=self.log, stderr=self.log)
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "RELAY_CONFIG": str(path),
+                "RELAY_DISCOVERY": self.discovery.address,
+                **self.env,
+            },
+            stdout=self.log,
+            stderr=self.log,
+        )
         eventually(self._ready)
 
     def _ready(self) -> bool:
--- a/loftroute/protocol/catalog.py
+++ b/loftroute/protocol/catalog.py
@@ -78,14 +78,15 @@
         gone = [n for n in self.numbers if n not in named] if kind is i.ListKind.FULL else []
         self._note(gone + [n for n, (entry, _) in named.items() if entry.state is i.ServerState.GONE], named)
         return Listing(
-            i.ServerList(i.ListKind.CACHED if cached else kind, version, tuple(entries)), addresses)
+            i.ServerList(i.ListKind.CACHED if cached else kind, version, tuple(entries)), addresses
+        )
 
     def _note(self, gone: list[str], named: Iterable[str]) -> None:
         """Ids that are not listed lose their numbers once they are many; no number is given out twice."""
         for name in named:
             self._gone.pop(name, None)
         self._gone.update(dict.fromkeys(gone))
-        for name in list(self._gone)[:max(len(self._gone) - NUMBERS_KEPT, 0)]:
+        for name in list(self._gone)[: max(len(self._gone) - NUMBERS_KEPT, 0)]:
             del self._gone[name], self.numbers[name]
             self._forgotten += 1
 
--- a/loftroute/protocol/http1.py
+++ b/loftroute/protocol/http1.py
@@ -76,7 +76,7 @@
     begin, after = stop + 2, stop + 2 + size
     if end < after + 2:
         raise NeedMore(after + 2 - start)
-    if data[after:after + 2] != b"\r\n":
+    if data[after : after + 2] != b"\r\n":
         raise ProtocolError("a chunk does not end where its size says")
     return memoryview(data)[begin:after], after + 2
 
@@ -100,4 +100,4 @@
         raise ProtocolError("a body without a length")
     if end < at + found.length:
         raise NeedMore(at + found.length - start)
-    return Response(found.status, bytes(data[at:at + found.length])), at + found.length
+    return Response(found.status, bytes(data[at : at + found.length])), at + found.length
--- a/loftroute/protocol/jobs.py
+++ b/loftroute/protocol/jobs.py
@@ -16,7 +16,8 @@
 # Nearly all requests look like this; whatever does not is read word by word.
 PLAIN = re.compile(
     rb"\*[45]\r\n\$[45]\r\n(Q\.ASK|Q\.DO)\r\n\$(\d{1,5})\r\n([!-~]+)\r\n\$16\r\n([0-9a-f]{16})\r\n"
-    rb"(\$\d{1,5}\r\n(c=([!-+\--~]+),t=([!-+\--~]+),)d=(\d{1,9})((?:,[krh]=[!-+\--~]+)*)\r\n)")
+    rb"(\$\d{1,5}\r\n(c=([!-+\--~]+),t=([!-+\--~]+),)d=(\d{1,9})((?:,[krh]=[!-+\--~]+)*)\r\n)"
+)
 
 
 # An unit's word that it never ran or that it failed; with anything else behind it, neither is sure.
@@ -78,8 +79,14 @@
     cls, tenant = names.plain.get(kind), names.owners.get(owner) if names.owners else 0
     at = found.end()
     listed = len(before) + len(wait) + len(after) + 2
-    if cls is None or tenant is None or len(key) != int(size) or wait.strip(b"0") == b"" or (
-            word[1:word.index(b"\r")] != b"%d" % listed) or names.verbs[cls] != verb:
+    if (
+        cls is None
+        or tenant is None
+        or len(key) != int(size)
+        or wait.strip(b"0") == b""
+        or (word[1 : word.index(b"\r")] != b"%d" % listed)
+        or names.verbs[cls] != verb
+    ):
         return None
     if data[start + 1] == 53 and (at := _body(data, at, end)) < 0:
         return None
@@ -93,18 +100,28 @@
         return None
     view, listing = memoryview(data), found.start(5)
     return Job(
-        name.decode(), key.decode(), cls, tenant, int(wait) * MS, repeat, int(hint or 0) * US or None,
-        view[start:listing], view[found.end():at], before, after), at
+        name.decode(),
+        key.decode(),
+        cls,
+        tenant,
+        int(wait) * MS,
+        repeat,
+        int(hint or 0) * US or None,
+        view[start:listing],
+        view[found.end() : at],
+        before,
+        after,
+    ), at
 
 
 def _body(data: bytes | bytearray, at: int, end: int) -> int:
     """Where a fifth word ends; below 0 if it is not whole or not plain."""
     stop = data.find(b"\r\n", at, min(end, at + 8))
-    digits = data[at + 1:stop]
+    digits = data[at + 1 : stop]
     if stop < 0 or data[at] != 36 or not digits.isdigit() or int(digits) > resp.VALUE_LIMIT:
         return -1
     after = stop + 4 + int(digits)
-    return after if after <= end and data[after - 2:after] == b"\r\n" else -1
+    return after if after <= end and data[after - 2 : after] == b"\r\n" else -1
 
 
 def read(command: resp.Command, names: Names) -> Job:
@@ -124,9 +141,18 @@
     before, after = _around(listed, f"d={values['d']}")
     raw, places = command.raw, command.places
     return Job(
-        name, _text(words[1], "key"), cls, _index(values, "t", names.tenants) if names.tenants else 0, left,
-        values.get("r") == "1", (_whole(values, "h") * US or None) if "h" in values else None,
-        raw[:places[3]], raw[places[4]:] if len(words) == 5 else raw[:0], before, after)
+        name,
+        _text(words[1], "key"),
+        cls,
+        _index(values, "t", names.tenants) if names.tenants else 0,
+        left,
+        values.get("r") == "1",
+        (_whole(values, "h") * US or None) if "h" in values else None,
+        raw[: places[3]],
+        raw[places[4] :] if len(words) == 5 else raw[:0],
+        before,
+        after,
+    )
 
 
 def _values(listed: str) -> dict[str, str]:
@@ -142,7 +168,7 @@
 def _around(listed: str, field: str) -> tuple[bytes, bytes]:
     """What stands before and behind a field of the list."""
     at = 0 if listed.startswith(field) else listed.index("," + field) + 1
-    return listed[:at].encode(), listed[at + len(field):].encode()
+    return listed[:at].encode(), listed[at + len(field) :].encode()
 
 
 def _text(word: memoryview, what: str) -> str:
--- a/loftroute/protocol/pipeline.py
+++ b/loftroute/protocol/pipeline.py
@@ -41,9 +41,13 @@
     """The state of the newest build."""
     try:
         return i.ReleaseNews(
-            phase=PHASES[document["mode"]], age=whole(document, "old_ms", 0) * MS,
-            stage=whole(document, "tranche"), status=i.Outcome.OK, cap=figure(document, "exposure"),
-            build=whole(document, "release"), reply=reply,
+            phase=PHASES[document["mode"]],
+            age=whole(document, "old_ms", 0) * MS,
+            stage=whole(document, "tranche"),
+            status=i.Outcome.OK,
+            cap=figure(document, "exposure"),
+            build=whole(document, "release"),
+            reply=reply,
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
         raise ProtocolError(f"pipeline: {problem!r}") from problem
--- a/loftroute/protocol/resp.py
+++ b/loftroute/protocol/resp.py
@@ -67,7 +67,7 @@
         if end - at >= LINE_LIMIT:
             raise ProtocolError("line too long")
         if end > at and data[at] not in b"$*+-:":
-            raise ProtocolError(f"not a RESP value: {bytes(data[at:at + 1])!r}")
+            raise ProtocolError(f"not a RESP value: {bytes(data[at : at + 1])!r}")
         raise NeedMore(end + 1)
     return bytes(data[at:stop]), stop + 2
 
@@ -94,7 +94,7 @@
     stop = at + size
     if end < stop + 2:
         raise NeedMore(stop + 2)
-    if data[stop:stop + 2] != b"\r\n":
+    if data[stop : stop + 2] != b"\r\n":
         raise ProtocolError("a value does not end where its length says")
     return memoryview(data)[at:stop], stop + 2
 
@@ -152,7 +152,7 @@
         if end >= at + 10:
             raise ProtocolError("not a length")
         raise NeedMore(end + 1)
-    digits = data[at + 1:stop]
+    digits = data[at + 1 : stop]
     if not digits.isdigit() or (size := int(digits)) > most:
         raise ProtocolError(f"not a length: {bytes(digits)!r}")
     return size, stop + 2
@@ -175,12 +175,12 @@
         size, begin = _header(data, start + 4, end, 36, VALUE_LIMIT) if data[start + 5] != 45 else (-1, 0)
         stop = begin + size + 2
         if size >= 0 and end < stop + 10:
-            if end >= stop and data[stop - 2:stop] != b"\r\n":
+            if end >= stop and data[stop - 2 : stop] != b"\r\n":
                 raise ProtocolError("a value does not end where its length says")
             raise NeedMore(stop + 10 - start)
-        if size >= 0 and data[stop - 2:stop + 10] == b"\r\n$-1\r\n$-1\r\n":
+        if size >= 0 and data[stop - 2 : stop + 10] == b"\r\n$-1\r\n$-1\r\n":
             view = memoryview(data)
-            return Served(view[begin:stop - 2], view[start + 4:stop]), stop + 10
+            return Served(view[begin : stop - 2], view[start + 4 : stop]), stop + 10
     value, after = parse(data, start, end)
     if value is None:  # else it would be taken for one that is not whole yet
         raise ProtocolError("null is no reply")
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -85,7 +85,8 @@
     def reads_too_slowly(self, now: int) -> bool:
         """It takes a byte now and then, and would hold what it is owed for ever."""
         return self._unsent_since is not None and (
-            now - self._unsent_since > self._door.config.longest + self._transport.patience)
+            now - self._unsent_since > self._door.config.longest + self._transport.patience
+        )
 
     def _run(self) -> None:
         stream = self._stream
@@ -370,7 +371,7 @@
         old = self.scheduler.looked - self.config.transport.quiet_after
         resting = [c for c in self.connections if c.asked == 1 and c.since < old and c.between]
         resting.sort(key=lambda c: c.since)
-        for connection in resting[:max(len(resting) - self.config.budget.resting, 0)]:
+        for connection in resting[: max(len(resting) - self.config.budget.resting, 0)]:
             if connection.endable():
                 self.thinned += 1
                 connection.close()
@@ -401,7 +402,7 @@
         found = [c for c in self.connections if c.may_have_gone or (c.since < old and not c.owes)]
         # Those first that have gone, as it seems, or never asked anything.
         found.sort(key=lambda c: (not c.may_have_gone, c.asked, c.since))
-        for connection in found[:max(8, self.config.budget.clients // 16)]:
+        for connection in found[: max(8, self.config.budget.clients // 16)]:
             if connection.endable():
                 connection.give_way()
         if len(self.connections) < self.config.budget.clients:
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -84,7 +84,8 @@
         transport, clock = self._transport, self._scheduler.clock
         self._moved = False
         stream = self._stream = self._stream or Stream.dial(
-            self._scheduler, self._address, clock.now() + transport.watch_grace, limit=transport.document)
+            self._scheduler, self._address, clock.now() + transport.watch_grace, limit=transport.document
+        )
         if self._moved:
             raise Closed("another address was told meanwhile")
         whole = self._fetch or self._version is None
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -37,7 +37,8 @@
         self.config = config
         self.scheduler = Scheduler(clock or Clock(), self._failed, gather=config.transport.gather)
         self.units = Units(
-            self.scheduler, config.transport, config.budget.units, config.settings.report_fields)
+            self.scheduler, config.transport, config.budget.units, config.settings.report_fields
+        )
         self.balancer = Balancer(config.settings, config.seed)
         self.module = Module(config, self.scheduler, self.balancer, self.units)
         self.clients = Clients(config, self.scheduler, self.module)
@@ -137,8 +138,11 @@
         longest = min(self.config.longest, transport.kill_longest) + transport.kill_after
         end = asked + longest - transport.kill_spare
         self.module.end_by(end)
-        logger.info("graceful shutdown: {} requests open, {} clients", len(self.module.open),
-                    len(self.clients.connections))
+        logger.info(
+            "graceful shutdown: {} requests open, {} clients",
+            len(self.module.open),
+            len(self.clients.connections),
+        )
         while clock.now() < min(asked + transport.drain_most, end):
             quiet = clock.now() - max(self.clients.last_accept, asked) >= transport.drain_quiet
             if quiet and clock.now() >= asked + transport.drain_least:
@@ -162,24 +166,37 @@
         used = resource.getrusage(resource.RUSAGE_SELF)
         scheduler = self.scheduler
         figures: dict[str, Any] = {
-            "open": len(self.module.open), "attempts out": self.units.out(), **self.balancer.beliefs(),
+            "open": len(self.module.open),
+            "attempts out": self.units.out(),
+            **self.balancer.beliefs(),
             "clients": len(self.clients.connections),
-            "units": self.units.open, "dials": self.units.dials,
-            "lag ms": round(scheduler.worst_lag / MS, 1), "memory MB": _resident(),
+            "units": self.units.open,
+            "dials": self.units.dials,
+            "lag ms": round(scheduler.worst_lag / MS, 1),
+            "memory MB": _resident(),
             "most": used.ru_maxrss // 1024,
-            "cpu s": round(used.ru_utime + used.ru_stime, 1), "task failures": scheduler.failures,
-            "bad requests": self.clients.bad, "malformed": self.clients.malformed,
-            "half commands": self.clients.halves, "closed unread": self.clients.turned,
+            "cpu s": round(used.ru_utime + used.ru_stime, 1),
+            "task failures": scheduler.failures,
+            "bad requests": self.clients.bad,
+            "malformed": self.clients.malformed,
+            "half commands": self.clients.halves,
+            "closed unread": self.clients.turned,
             "cut off": self.clients.cut,
             "thinned out": self.clients.thinned,
-            "spoilt answers": self.units.malformed, "unasked answers": self.units.unasked,
+            "spoilt answers": self.units.malformed,
+            "unasked answers": self.units.unasked,
             "crowded": self.units.crowded + self.clients.crowded,
-            "lists": self.discovery.answers, "old lists": self.discovery.old, "reloads": self.reloads,
+            "lists": self.discovery.answers,
+            "old lists": self.discovery.old,
+            "reloads": self.reloads,
             "turns": scheduler.turns,
             "discovery failures": self.discovery.failures,
             "changes failures": self.changes.failures if self.changes else 0,
-            "dropped messages": self.module.mailbox.dropped, "requests": self.module.requests,
-            "served": self.module.served, **self.module.count, **invariants.broken,
+            "dropped messages": self.module.mailbox.dropped,
+            "requests": self.module.requests,
+            "served": self.module.served,
+            **self.module.count,
+            **invariants.broken,
         }
         for part in self.parts:
             figures.update(part.figures())
@@ -200,8 +217,14 @@
     """One record a line on standard error, as JSON where asked."""
     logger.remove()
     if json:
-        logger.add(sys.stderr, format="{message}", level=level, serialize=True, backtrace=False,
-                   diagnose=False)
+        logger.add(
+            sys.stderr, format="{message}", level=level, serialize=True, backtrace=False, diagnose=False
+        )
         return
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False,
-               diagnose=False)
+    logger.add(
+        sys.stderr,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        level=level,
+        backtrace=False,
+        diagnose=False,
+    )
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -76,9 +76,15 @@
         if config.control.platform:
             self._lacks.add(i.ReleaseNews)
         self._act: dict[type, Callable[[Any], Any]] = {
-            i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
-            i.SetTimer: self._set_timer, i.CloseIdle: self._close_idle, i.Vote: lambda a: self.vote(a),
-            i.Watch: lambda a: self.watch(a), i.Fetch: lambda a: self.watch(a),
+            i.Send: self._send,
+            i.Refuse: self._refuse,
+            i.Fail: self._fail,
+            i.Cancel: self._cancel,
+            i.SetTimer: self._set_timer,
+            i.CloseIdle: self._close_idle,
+            i.Vote: lambda a: self.vote(a),
+            i.Watch: lambda a: self.watch(a),
+            i.Fetch: lambda a: self.watch(a),
             i.Log: lambda a: logger.info("module: {}", a.text),
         }
         self.mailbox.put(i.Started())
@@ -229,8 +235,9 @@
         took = self._scheduler.clock.now() - (attempt.written or attempt.sent)  # without a dial
         if outcome is not i.Outcome.TIMEOUT:  # it may have lain unread since the last look: our lateness
             took = max(took - self._scheduler.lag, 0)
-        self.mailbox.put(i.AttemptEnded(
-            job.id, attempt.number, attempt.server, outcome, took, not mine, result.load))
+        self.mailbox.put(
+            i.AttemptEnded(job.id, attempt.number, attempt.server, outcome, took, not mine, result.load)
+        )
 
     def _close(self, request: str) -> Open | None:
         return self.open.pop(request, None)
@@ -249,8 +256,11 @@
         attempt = Attempt(held.job, len(attempts), action.server, now, until, self._ended, before)
         alone = not (attempts and self._lone) or all(a.ended for a in attempts)
         attempts.append(attempt)
-        if not (invariants.holds(alone, "one attempt of a request at a time") and left > 0
-                and attempt.number < self._attempts):
+        if not (
+            invariants.holds(alone, "one attempt of a request at a time")
+            and left > 0
+            and attempt.number < self._attempts
+        ):
             return attempt.finish(Answer(i.Outcome.MOOT))
         if self.recall is not None and self.lasting(held.job):
             self.recall.intend(attempt)
@@ -262,8 +272,12 @@
         if attempt.ended:
             return
         held = self.open.get(attempt.job.id)
-        if attempt.cancelled or held is None or held.job is not attempt.job or (
-                self._scheduler.clock.now() >= attempt.until):
+        if (
+            attempt.cancelled
+            or held is None
+            or held.job is not attempt.job
+            or (self._scheduler.clock.now() >= attempt.until)
+        ):
             return attempt.finish(Answer(i.Outcome.MOOT))
         self._units.send(attempt)
 
--- a/loftroute/relay/platform.py
+++ b/loftroute/relay/platform.py
@@ -54,8 +54,10 @@
         return self._scheduler.clock.now() + self._transport.life_within
 
     def _follow(self, address: Address) -> None:
-        limit, request = self._transport.document, http1.request(
-            "GET", pipeline.changes_target(), str(address))
+        limit, request = (
+            self._transport.document,
+            http1.request("GET", pipeline.changes_target(), str(address)),
+        )
         stream = Stream.dial(self._scheduler, address, self._within(), limit=limit)
         try:
             stream.send_all([request], self._within())
@@ -110,8 +112,13 @@
             while self.mailbox.items:
                 vote = self.mailbox.items.popleft()
                 answer = self._carry(vote)
-                logger.info("vote {} on build {} stage {}: {}", vote.verdict.name.lower(), vote.build,
-                            vote.stage, answer.status.value)
+                logger.info(
+                    "vote {} on build {} stage {}: {}",
+                    vote.verdict.name.lower(),
+                    vote.build,
+                    vote.stage,
+                    answer.status.value,
+                )
                 self._module.news(answer)
             self._scheduler.park()
 
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -97,7 +97,8 @@
         until = min(until, attempt.send_by) if attempt else until
         try:
             self._stream = Stream.dial(
-                self._scheduler, address, until, self._pool.transport.chunk, self._pool.transport.message)
+                self._scheduler, address, until, self._pool.transport.chunk, self._pool.transport.message
+            )
         except Expired as problem:
             raise Closed("no connection in time") from problem
         self.address, self.born, self.dialling = address, self._scheduler.looked, False
@@ -373,7 +374,11 @@
     """All units by the module's numbers, and the bound on connections to them."""
 
     def __init__(
-        self, scheduler: Scheduler, transport: Transport, bound: int, report: tuple[str, ...],
+        self,
+        scheduler: Scheduler,
+        transport: Transport,
+        bound: int,
+        report: tuple[str, ...],
     ) -> None:
         self.scheduler, self.transport, self.report = scheduler, transport, report
         self._bound = bound
@@ -401,8 +406,10 @@
 
     def out(self) -> int:
         """Attempts that are with an unit or wait for a connection to it."""
-        return sum(len(unit.waiting) + sum(c.attempt is not None for c in unit.connections)
-                   for unit in self.units.values())
+        return sum(
+            len(unit.waiting) + sum(c.attempt is not None for c in unit.connections)
+            for unit in self.units.values()
+        )
 
     def listed(self, listing: Listing) -> None:
         """Follow the list: addresses, and no dial to what drains or is gone."""
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -85,8 +85,13 @@
     """The hub. `lag` is how much later than it could have this turn came to look at the sockets."""
 
     def __init__(
-        self, clock: Ticks, on_failure: Callable[[str, Exception], None], poller: Poller | None = None,
-        longest_wait: int = 50 * MS, gather: int = 0, pause: Callable[[float], None] = time.sleep,
+        self,
+        clock: Ticks,
+        on_failure: Callable[[str, Exception], None],
+        poller: Poller | None = None,
+        longest_wait: int = 50 * MS,
+        gather: int = 0,
+        pause: Callable[[float], None] = time.sleep,
     ) -> None:
         self.clock, self._on_failure = clock, on_failure
         self._poller: Poller = poller or select.poll()
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -45,9 +45,9 @@
         if size - self.end < self._chunk // 4 or self.start + self._need > size:
             held = self.end - self.start
             fresh = bytearray(max(self._chunk, self._need, held + self._chunk // 2))
-            fresh[:held] = memoryview(self.data)[self.start:self.end]
+            fresh[:held] = memoryview(self.data)[self.start : self.end]
             self.data, self.start, self.end = fresh, 0, held
-        return memoryview(self.data)[self.end:]
+        return memoryview(self.data)[self.end :]
 
     def parse(self, parser: Parser[Message]) -> Message | None:
         """The next message, or None until more has come."""
@@ -74,8 +74,20 @@
 class Stream:
     """One connection, used by one task. `events` is what poll has said of it and was not yet followed."""
 
-    __slots__ = ("_mask", "_out", "_scheduler", "_sock", "broken", "buffer", "closed", "ended", "events",
-                 "fd", "task", "unsent")
+    __slots__ = (
+        "_mask",
+        "_out",
+        "_scheduler",
+        "_sock",
+        "broken",
+        "buffer",
+        "closed",
+        "ended",
+        "events",
+        "fd",
+        "task",
+        "unsent",
+    )
 
     def __init__(self, scheduler: Scheduler, sock: socket.socket, chunk: int, limit: int) -> None:
         self._scheduler, self._sock = scheduler, sock
@@ -91,8 +103,9 @@
         self._mask: int | None = None
 
     @classmethod
-    def dial(cls, scheduler: Scheduler, address: Address, deadline: int, chunk: int = 4096,
-             limit: int = 1 << 17) -> "Stream":
+    def dial(
+        cls, scheduler: Scheduler, address: Address, deadline: int, chunk: int = 4096, limit: int = 1 << 17
+    ) -> "Stream":
         """Connect, parking meanwhile."""
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -61,18 +61,28 @@
             *(f"0 {build + 1} healthy {started} 1 {n} 0 0" for n in range(101, 101 + new)),
         )
 
-    def news(self, phase: int = 0, stage: int = 0, cap: float = 0.2, build: int = 2, status: str = "Ok",
-             reply: int = 0, age: int = 0) -> list[list[str]]:
+    def news(
+        self,
+        phase: int = 0,
+        stage: int = 0,
+        cap: float = 0.2,
+        build: int = 2,
+        status: str = "Ok",
+        reply: int = 0,
+        age: int = 0,
+    ) -> list[list[str]]:
         return self.event("RELEASE_STATE", phase, age, stage, status, cap, build, reply)
 
-    def ask(self, cls: int = 0, key: str = "-", left: int = 3 * SECOND, hint: int = 50 * MS,
-            tenant: str = "-") -> tuple[str, list[list[str]]]:
+    def ask(
+        self, cls: int = 0, key: str = "-", left: int = 3 * SECOND, hint: int = 50 * MS, tenant: str = "-"
+    ) -> tuple[str, list[list[str]]]:
         self.count += 1
         ref = f"{self.count:016x}"
         return ref, self.event("JOB_IN", ref, key, tenant, cls, hint, left, 1)
 
-    def answer(self, ref: str, how: str = "Ok", took: int = 60 * MS,
-               over: int | None = None) -> list[list[str]]:
+    def answer(
+        self, ref: str, how: str = "Ok", took: int = 60 * MS, over: int | None = None
+    ) -> list[list[str]]:
         """The newest attempt of a request ends."""
         number = self.sends[ref] - 1
         unit = self.open.pop((ref, number))
@@ -90,8 +100,15 @@
         self.now = until
         return actions
 
-    def serve(self, count: int, how: str = "Ok", gap: int = 20 * MS, cls: int = 0,
-              bad_units: range = range(0), took: int = 60 * MS) -> list[list[str]]:
+    def serve(
+        self,
+        count: int,
+        how: str = "Ok",
+        gap: int = 20 * MS,
+        cls: int = 0,
+        bad_units: range = range(0),
+        took: int = 60 * MS,
+    ) -> list[list[str]]:
         """Requests one after another, each answered at once; `how` at the bad units, else Ok."""
         seen: list[list[str]] = []
         for _ in range(count):
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -107,10 +107,16 @@
         self.port = free_port()
         place = "{}:{}".format(*self.discovery.getsockname())
         self.raw = {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": place, "seed": "1f",
-            "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": self.listed(),
-            "settings": setup(**{
-                "instances": 1, "parties": [{"name": "acme", "allowance_per_s": 1000.0}], **changes})}
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": place,
+            "seed": "1f",
+            "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": self.listed(),
+            "settings": setup(
+                **{"instances": 1, "parties": [{"name": "acme", "allowance_per_s": 1000.0}], **changes}
+            ),
+        }
         self.relay = Relay(config.read(self.raw, {}), self.clock)
         self.scheduler = self.relay.scheduler
         self.scheduler._longest_wait = MS  # a turn that finds nothing goes on at once
@@ -119,10 +125,25 @@
         self.turn()
 
     def listed(self, generation: int = 1, whole: bool = True, **states: str) -> dict[str, Any]:
-        return {"generation": generation, "reset": whole, "instances": [
-            {"instanceId": name, "hostPort": unit.address, "zone": "a", "machineType": "m", "cell": 0,
-             "lifecycle": states.get(name, "SERVING"), "weight": 1.0, "startedAtMs": 0, "release": 41}
-            for name, unit in self.units.items() if whole or name in states]}
+        return {
+            "generation": generation,
+            "reset": whole,
+            "instances": [
+                {
+                    "instanceId": name,
+                    "hostPort": unit.address,
+                    "zone": "a",
+                    "machineType": "m",
+                    "cell": 0,
+                    "lifecycle": states.get(name, "SERVING"),
+                    "weight": 1.0,
+                    "startedAtMs": 0,
+                    "release": 41,
+                }
+                for name, unit in self.units.items()
+                if whole or name in states
+            ],
+        }
 
     def tell(self, **listing: Any) -> None:
         """The list changes, as if discovery had told."""
@@ -179,12 +200,14 @@
 
 def served_at(world, mark: bytes, text: bytes = b"V"):
     """The unit answers what holds this mark; which unit and on which connection."""
+
     def found():
         for unit in world.units.values():
             unit.look()
             if any(mark in heard for heard in unit.heard.values()):
                 return unit, unit.asked(mark)
         return None
+
     unit, peer = world.until(found)
     unit.heard[peer] = b""
     peer.sendall(served(text))
@@ -234,7 +257,7 @@
     served_at(it, b"warm")
     it.until(lambda: got(client) == value(b"V"))
     it.step(30)
-    idle, = it.relay.units.units[1].idle
+    (idle,) = it.relay.units.units[1].idle
     idle._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
     client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -30,8 +30,13 @@
 
 @pytest.fixture
 def door():
-    raw = {"listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "1f",
-           "limits": {"sockets": 64}, "settings": setup(parties=[{"name": "acme", "allowance_per_s": 9.0}])}
+    raw = {
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": "127.0.0.1:1",
+        "seed": "1f",
+        "limits": {"sockets": 64},
+        "settings": setup(parties=[{"name": "acme", "allowance_per_s": 9.0}]),
+    }
     scheduler = Scheduler(Clock(), lambda name, problem: None)
     door = Clients(config.read(raw, {}), scheduler, Module())
     yield door
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -18,8 +18,16 @@
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
     env = {**os.environ, "PYTHONPATH": str(ROOT)}
-    return subprocess.run([sys.executable, "-B", "-m", "loftroute.bench"], input=text, cwd=ROOT, env=env,
-                          capture_output=True, text=True, timeout=60, check=False)
+    return subprocess.run(
+        [sys.executable, "-B", "-m", "loftroute.bench"],
+        input=text,
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
 
 
 def read(line: str) -> i.Event:
@@ -29,17 +37,22 @@
 def test_events_are_read_in_the_order_of_the_wire():
     ref = "47c260025d3a91c4"
     assert codec.parse(f"JOB_IN relay_3 {ref} s-k 2 1 12000000 240000000 7".split()) == i.RequestArrived(
-        ref, "s-k", 2, 1, 12000000, 240000000, True, True)
+        ref, "s-k", 2, 1, 12000000, 240000000, True, True
+    )
     assert codec.parse(f"JOB_IN relay_3 {ref} - - 0 - 5 0".split()) == i.RequestArrived(
-        ref, None, 0, 0, None, 5, False, False)
+        ref, None, 0, 0, None, 5, False, False
+    )
     assert codec.parse(f"ANSWER relay_3 {ref} 0 5 Ok 18500000 1 0.5,3".split()) == i.AttemptEnded(
-        ref, 0, 5, i.Outcome.OK, 18500000, True, (0.5, 3.0))
+        ref, 0, 5, i.Outcome.OK, 18500000, True, (0.5, 3.0)
+    )
     assert read("RELEASE_STATE relay_3 0 31 2 Ok 0.125 42 1") == i.ReleaseNews(
-        i.Phase.TRIAL, 31, 2, i.Outcome.OK, 0.125, 42, True)
+        i.Phase.TRIAL, 31, 2, i.Outcome.OK, 0.125, 42, True
+    )
     assert read("SCORECARD relay_3 42 4 125 0 180 215") == i.Tally(42, 0, 4, 180, 125, 215)
     assert codec.parse(["DISPUTED", "relay_3", "7", "0", "24"]) == i.AnswerDisputed(7, 0, 24)
     assert codec.parse(["HEALTH_RESULT", "relay_3", "TimedOut", "7", "24", "-"]) == i.ProbeEnded(
-        7, i.Outcome.TIMEOUT, 24, None)
+        7, i.Outcome.TIMEOUT, 24, None
+    )
     assert codec.parse(["WHISPER", "relay_3", "1", "6869"]) == i.PeerMessage(1, b"hi")
     assert codec.parse(f"FLOWING relay_3 {ref} 0 7 24".split()) == i.StreamStarted(ref, 0, 7, 24)
 
@@ -77,17 +90,20 @@
     assert (done.returncode, done.stdout, done.stderr) == (0, "FINISHED\n", "")
 
 
-@pytest.mark.parametrize(("lines", "word"), [
-    ("HELLO 5\n", "SYNC"),
-    ("SYNC 5\nJOB_IN relay_1\nOVER_TO_YOU\n", "relay_1"),
-    ("SYNC 5\nWAKEUP relay_9 1\nOVER_TO_YOU\n", "never booted"),
-    ("SYNC 5\nBOOT relay_1 1 {bad\nOVER_TO_YOU\n", "BOOT"),
-    ("SYNC 5\nLEDGER 0 1\nOVER_TO_YOU\n", "LEDGER"),
-    ("SYNC 5\nBOOT relay_1 1 {}\nNONSENSE relay_1 4\nOVER_TO_YOU\n", "NONSENSE"),
-    ("SYNC 5\nBOOT relay_1 1 {}\nWAKEUP relay_1 x\nOVER_TO_YOU\n", "WAKEUP"),
-    ("SYNC 5\nBOOT relay_1 1 {}\nMEMBERS relay_1 replace 1 3\nOVER_TO_YOU\n", "MEMBERS"),
-    ("SYNC 5\n", "OVER_TO_YOU"),
-])
+@pytest.mark.parametrize(
+    ("lines", "word"),
+    [
+        ("HELLO 5\n", "SYNC"),
+        ("SYNC 5\nJOB_IN relay_1\nOVER_TO_YOU\n", "relay_1"),
+        ("SYNC 5\nWAKEUP relay_9 1\nOVER_TO_YOU\n", "never booted"),
+        ("SYNC 5\nBOOT relay_1 1 {bad\nOVER_TO_YOU\n", "BOOT"),
+        ("SYNC 5\nLEDGER 0 1\nOVER_TO_YOU\n", "LEDGER"),
+        ("SYNC 5\nBOOT relay_1 1 {}\nNONSENSE relay_1 4\nOVER_TO_YOU\n", "NONSENSE"),
+        ("SYNC 5\nBOOT relay_1 1 {}\nWAKEUP relay_1 x\nOVER_TO_YOU\n", "WAKEUP"),
+        ("SYNC 5\nBOOT relay_1 1 {}\nMEMBERS relay_1 replace 1 3\nOVER_TO_YOU\n", "MEMBERS"),
+        ("SYNC 5\n", "OVER_TO_YOU"),
+    ],
+)
 def test_malformed_input_ends_with_one_line_that_names_it(lines, word):
     done = run(lines)
     assert done.returncode != 0
@@ -98,8 +114,12 @@
 def test_a_ledger_number_is_resolved_in_the_order_of_events():
     relay = Relay()
     relay.batch(
-        "LEDGER 0 1", "ENTRY 0 1 healthy 0 1 5 0 0", "MEMBERS relay_0 replace 1 0",
-        "LEDGER 0 1", "ENTRY 0 1 healthy 0 1 6 0 0", "MEMBERS relay_0 replace 2 0",
+        "LEDGER 0 1",
+        "ENTRY 0 1 healthy 0 1 5 0 0",
+        "MEMBERS relay_0 replace 1 0",
+        "LEDGER 0 1",
+        "ENTRY 0 1 healthy 0 1 6 0 0",
+        "MEMBERS relay_0 replace 2 0",
     )
     _, actions = relay.ask()
     assert actions[0][2] == "6"
@@ -109,8 +129,13 @@
     relay = Relay()
     relay.fleet(2)
     ref, _ = relay.ask()
-    relay.batch("KILL relay_0", f"BOOT relay_0 9 {json.dumps(setup())}",
-                "LEDGER 1 1", "ENTRY 0 1 healthy 0 1 7 0 0", "MEMBERS relay_0 restored 1 1")
+    relay.batch(
+        "KILL relay_0",
+        f"BOOT relay_0 9 {json.dumps(setup())}",
+        "LEDGER 1 1",
+        "ENTRY 0 1 healthy 0 1 7 0 0",
+        "MEMBERS relay_0 restored 1 1",
+    )
     assert relay.event("ANSWER", ref, 0, 1, "Ok", 5, 1, "-") == []
     assert relay.ask()[1][0][2] == "7"
 
@@ -119,8 +144,12 @@
     def play(others: int) -> list[list[str]]:
         relay = Relay(seed=5)
         for n in range(1, others + 1):
-            relay.batch(f"BOOT relay_{n} {n} {json.dumps(setup())}", "LEDGER 3 1",
-                        "ENTRY 0 1 healthy 0 1 9 0 0", f"MEMBERS relay_{n} replace 1 3")
+            relay.batch(
+                f"BOOT relay_{n} {n} {json.dumps(setup())}",
+                "LEDGER 3 1",
+                "ENTRY 0 1 healthy 0 1 9 0 0",
+                f"MEMBERS relay_{n} replace 1 3",
+            )
         relay.fleet(6, 2)
         relay.news()
         return relay.serve(60)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -57,7 +57,7 @@
     client.sendall(ask("first"))
     it.until(lambda: it.units["u0"].asks())
     it.closing()
-    connection, = it.relay.clients.connections
+    (connection,) = it.relay.clients.connections
     slot = connection.slots[0]
     client.sendall(ask("second"))  # unread when the first is answered
     it.relay.module._close(slot.job.id)
@@ -69,6 +69,7 @@
     def both():
         seen[0] += got(client)
         return seen[0].endswith(value(b"V"))
+
     it.until(both)
     assert seen[0] == b"-ERR failed\r\n" + value(b"V")
 
@@ -91,6 +92,7 @@
     def both():
         seen[0] += got(client)
         return seen[0] == value(b"A") + value(b"B")
+
     it.until(both)
 
 
@@ -101,8 +103,7 @@
     it.until(lambda: it.units["u0"].asks())
     it.closing()
     served_at(it, b"Q.ASK")
-    it.until(lambda: it.relay.clients.connections and not any(
-        c.slots for c in it.relay.clients.connections))
+    it.until(lambda: it.relay.clients.connections and not any(c.slots for c in it.relay.clients.connections))
     it.turn()
     client.sendall(ask("late"))  # the relay has said its goodbye, and the client has not read it
     it.turn(3)
@@ -110,10 +111,12 @@
     assert it.units["u0"].asks() == 0 and not it.stopped
 
 
-@pytest.mark.parametrize(("kind", "effect", "answer"), [
-    ("read", "safe", b"-BUSY 250\r\n"), ("pay", "unsafe", b"-ERR failed\r\n")])
+@pytest.mark.parametrize(
+    ("kind", "effect", "answer"), [("read", "safe", b"-BUSY 250\r\n"), ("pay", "unsafe", b"-ERR failed\r\n")]
+)
 def test_what_is_still_open_is_answered_before_the_kill_and_the_relay_ends_by_itself(
-        world, kind, effect, answer):
+    world, kind, effect, answer
+):
     it = world(services=[{"name": kind, "effect": effect, "aim": 9 * SECOND, "hard_limit": 15 * SECOND}])
     client = it.client()
     client.sendall(ask(d=14000, kind=kind))
@@ -233,8 +236,11 @@
     it.until(lambda: it.units["u0"].asks())
     (tmp_path / "config.json").write_text("{ half a file")
     monkeypatch.setenv("RELAY_CONFIG", str(tmp_path / "config.json"))
-    for event in ([it.relay._asked_to_reload, it.terminate] if when == "before"
-                  else [it.terminate, it.relay._asked_to_reload]):
+    for event in (
+        [it.relay._asked_to_reload, it.terminate]
+        if when == "before"
+        else [it.terminate, it.relay._asked_to_reload]
+    ):
         event()
     it.closing()
     served_at(it, b"Q.ASK")
@@ -301,7 +307,7 @@
     it.clock.time += 2300 * MS
     raw = ask("second")
     it.scheduler.at(0, lambda: client.sendall(raw[:part]))  # behind poll, and before the door looks for whom
-    it.turn(2)                                              # to close: that timer is due in this turn too
+    it.turn(2)  # to close: that timer is due in this turn too
     it.step(150)
     client.sendall(raw[part:] if part else b"")
     it.step(30)
@@ -341,8 +347,12 @@
             client = it.client()
             client.sendall(ask(f"usual{n}"))
             it.step(30)
-            it.until(lambda n=n: any(b"usual%d" % n in h for u in it.units.values()
-                                     for h in (u.look(), *u.heard.values())) or it.step(10, 1))
+            it.until(
+                lambda n=n: (
+                    any(b"usual%d" % n in h for u in it.units.values() for h in (u.look(), *u.heard.values()))
+                    or it.step(10, 1)
+                )
+            )
             served_at(it, b"usual%d" % n)
             it.until(lambda c=client: got(c) == value(b"V"))
     left = 0
@@ -359,7 +369,7 @@
     raw = ask()
     for n in range(30):
         if n % 10 == 0:
-            slow.sendall(raw[n // 10:n // 10 + 1])
+            slow.sendall(raw[n // 10 : n // 10 + 1])
         it.step(100)
         if said := got(slow):
             break
@@ -367,7 +377,6 @@
     assert it.units["u0"].asks() == 0
 
 
-
 def test_a_slow_reader_that_reads_gets_its_whole_answer(world):
     """It has no request open, and its answer takes longer than a silent client is borne."""
     it = world()
@@ -492,8 +501,11 @@
 
     def half():
         attempts = [a for held in it.relay.module.open.values() for a in held.attempts]
-        return next((a for a in attempts if a.connection and a.connection._stream
-                     and a.connection._stream.unsent), None)
+        return next(
+            (a for a in attempts if a.connection and a.connection._stream and a.connection._stream.unsent),
+            None,
+        )
+
     while not (attempt := half()):
         it.scheduler.turn(it.clock.now())
     assert not attempt.written and attempt.connection is idle
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -71,8 +71,12 @@
 
 def test_a_short_drain_grace_shortens_what_an_agents_silence_may_hide():
     for grace, most in ((300 * MS, 300 * MS), (SECOND, SECOND), (0, SECOND)):
-        raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
-               "settings": setup(obligations={"drain_grace": grace})}
+        raw = {
+            "listen": "127.0.0.1:1",
+            "discovery": "127.0.0.1:1",
+            "seed": "1f",
+            "settings": setup(obligations={"drain_grace": grace}),
+        }
         transport = config.read(raw, {}).transport
         assert transport.watch_again + transport.watch_grace + transport.backoff(9) <= most
 
@@ -147,15 +151,18 @@
     it.step(2100)
     assert it.relay.module.ready
 
+
 @pytest.mark.parametrize("silent", ["before", "head", "body", "chunk"])
 def test_a_watch_that_falls_silent_is_opened_anew_in_time_and_its_late_answer_is_nobodys(world, silent):
     """The page counts what it misses as told 6 s after it fell silent, or 2 s after its wait is over."""
     it = world(units=2)
     watch = it.until(lambda: called(it))
     late = json.dumps(it.listed(generation=9, whole=False, u0="DELETED")).encode()
-    whole = {"before": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(late), late),
-             "chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                      b"%x\r\n%b\r\n0\r\n\r\n" % (len(late), late)}
+    whole = {
+        "before": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(late), late),
+        "chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%b\r\n0\r\n\r\n" % (len(late), late),
+    }
     raw = whole.get(silent, whole["before"])
     cut = {"before": 0, "head": 20, "body": len(raw) - 30, "chunk": len(raw) - 20}[silent]
     watch.sendall(raw[:cut])
@@ -195,6 +202,7 @@
     def both():
         seen[0] += got(client)
         return seen[0] == b"+PONG\r\n" + value(b"V")
+
     it.until(both)
 
 
@@ -240,6 +248,6 @@
     relay.fleet(4, 2)
     relay.news(stage=0, cap=0.2)
     told = {"news": {"stage": 1, "cap": 0.5}, "answer": {"stage": 0, "cap": 0.2, "reply": 1}}
-    for name in (("news", "answer") if first == "news" else ("answer", "news")):
+    for name in ("news", "answer") if first == "news" else ("answer", "news"):
         relay.news(**told[name])
     assert (relay.instance.news.stage, relay.instance.news.cap) == (1, 0.5)
--- a/tests/test_crossings_runtime.py
+++ b/tests/test_crossings_runtime.py
@@ -25,6 +25,7 @@
         if len(runs) == 1:
             raise KeyError("once")
         scheduler.park()
+
     supervised(scheduler, "needed", run)
     scheduler.turn(clock.now())
     clock.time += 200 * MS
--- a/tests/test_crossings_units.py
+++ b/tests/test_crossings_units.py
@@ -34,8 +34,15 @@
     it.until(lambda: it.units["u0"].asks())
     held = next(iter(it.relay.module.open.values()))
     now = it.clock.now()
-    return Attempt(held.job, 1, 1, now, now + 2 * SECOND,
-                   lambda a, r: done.append((r.outcome, it.clock.now() - now)), now + length)
+    return Attempt(
+        held.job,
+        1,
+        1,
+        now,
+        now + 2 * SECOND,
+        lambda a, r: done.append((r.outcome, it.clock.now() - now)),
+        now + length,
+    )
 
 
 def test_a_dial_that_comes_up_after_the_window_of_the_key_sends_nothing(world):
@@ -58,6 +65,7 @@
     def slowly():
         dial()
         it.clock.time += 11 * MS  # the process stood still between the two
+
     connection._dial = slowly
     it.turn(6)
     assert [outcome for outcome, _ in done] == [i.Outcome.CONNECT_FAILED] and it.units["u0"].asks() == 1
@@ -108,8 +116,19 @@
 
 
 def test_the_window_of_a_key_is_told_to_the_attempt(world):
-    it = world(units=2, services=[{"name": "put", "effect": "keyed", "group": "all", "aim": 3 * SECOND,
-                                   "hard_limit": 4 * SECOND, "window": 500 * MS}])
+    it = world(
+        units=2,
+        services=[
+            {
+                "name": "put",
+                "effect": "keyed",
+                "group": "all",
+                "aim": 3 * SECOND,
+                "hard_limit": 4 * SECOND,
+                "window": 500 * MS,
+            }
+        ],
+    )
     client = it.client()
     client.sendall(ask("mark", kind="put"))
     unit = it.until(lambda: next((u for u in it.units.values() if u.asks()), None))
@@ -125,8 +144,20 @@
 
 
 def test_the_window_of_a_key_goes_with_each_repeat_and_ends_them():
-    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": 3 * SECOND,
-                                   "hard_limit": 4 * SECOND, "window": 500 * MS}]))
+    relay = Relay(
+        setup(
+            services=[
+                {
+                    "name": "put",
+                    "effect": "keyed",
+                    "group": "all",
+                    "aim": 3 * SECOND,
+                    "hard_limit": 4 * SECOND,
+                    "window": 500 * MS,
+                }
+            ]
+        )
+    )
     relay.fleet(4)
     sent = []
 
@@ -134,6 +165,7 @@
         actions = relay.adapter._instances[relay.name].handle(relay.now, event)
         sent.extend(a for a in actions if isinstance(a, i.Send))
         return actions
+
     look(i.RequestArrived("a" * 16, "k", 0, 0, 50 * MS, 4 * SECOND, False, False))
     assert sent[0].within == 0  # nothing may have run before it
     relay.now += 100 * MS
@@ -146,14 +178,38 @@
 
 
 def test_a_refusal_says_that_a_repeat_is_harmless_only_while_the_key_is_known():
-    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": SECOND,
-                                   "hard_limit": 4 * SECOND, "window": 4 * SECOND}]))
+    relay = Relay(
+        setup(
+            services=[
+                {
+                    "name": "put",
+                    "effect": "keyed",
+                    "group": "all",
+                    "aim": SECOND,
+                    "hard_limit": 4 * SECOND,
+                    "window": 4 * SECOND,
+                }
+            ]
+        )
+    )
     relay.fleet(1)
     ref, _ = relay.ask()
     relay.now += 1100 * MS
     assert named(relay.answer(ref, "ResetByPeer"), "NOT_NOW")
-    relay = Relay(setup(services=[{"name": "put", "effect": "keyed", "group": "all", "aim": SECOND,
-                                   "hard_limit": 4 * SECOND, "window": 1200 * MS}]))
+    relay = Relay(
+        setup(
+            services=[
+                {
+                    "name": "put",
+                    "effect": "keyed",
+                    "group": "all",
+                    "aim": SECOND,
+                    "hard_limit": 4 * SECOND,
+                    "window": 1200 * MS,
+                }
+            ]
+        )
+    )
     relay.fleet(1)
     ref, _ = relay.ask()
     relay.now += 1100 * MS
@@ -212,8 +268,11 @@
     for cut in range(len(whole)):
         client = it.client()
         client.sendall(ask(f"cut{cut}", kind="pay"))
-        unit = it.until(lambda cut=cut: next(
-            (u for u in it.units.values() if any(b"cut%d\r" % cut in h for h in u.heard.values())), None))
+        unit = it.until(
+            lambda cut=cut: next(
+                (u for u in it.units.values() if any(b"cut%d\r" % cut in h for h in u.heard.values())), None
+            )
+        )
         peer = unit.asked(b"cut%d\r" % cut)
         unit.heard[peer] = b""
         peer.sendall(whole[:cut])
@@ -253,14 +312,25 @@
     it.until(lambda: got(client) == value(b"V"))
 
 
-@pytest.mark.parametrize("change", [
-    {"hostPort": "elsewhere"}, {"hostPort": "elsewhere", "startedAtMs": 1}, {"startedAtMs": 1_000_001},
-    {"release": 42}, {"cell": 5}, {"zone": "b"}])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"hostPort": "elsewhere"},
+        {"hostPort": "elsewhere", "startedAtMs": 1},
+        {"startedAtMs": 1_000_001},
+        {"release": 42},
+        {"cell": 5},
+        {"zone": "b"},
+    ],
+)
 @pytest.mark.parametrize("when", ["idle", "out"])
 def test_an_id_that_stands_for_another_process_gets_no_request_on_an_old_connection(world, change, when):
     """A connection that was pooled, or out with a request, as the list told of another machine or process."""
-    it = world(zones=["a", "b"], obligations__cold=MS, services=[
-        {"name": "pay", "effect": "unsafe", "aim": 3 * SECOND, "hard_limit": 3 * SECOND}])
+    it = world(
+        zones=["a", "b"],
+        obligations__cold=MS,
+        services=[{"name": "pay", "effect": "unsafe", "aim": 3 * SECOND, "hard_limit": 3 * SECOND}],
+    )
     client, unit, other = it.client(), it.units["u0"], Unit()
     client.sendall(ask("first", kind="pay"))
     it.until(lambda: unit.asks())
@@ -269,8 +339,7 @@
         it.until(lambda: got(client) == value(b"V"))
         it.step(50)
     listed = it.listed(generation=2)
-    listed["instances"][0].update(
-        {**change, **({"hostPort": other.address} if "hostPort" in change else {})})
+    listed["instances"][0].update({**change, **({"hostPort": other.address} if "hostPort" in change else {})})
     old = set(unit.peers)
     it.relay.module.listing(it.relay.config.catalog.listing(listed))
     if when == "out":  # what was begun there is answered from there
@@ -368,9 +437,11 @@
     assert attempt.ended and not attempt.written and idle not in it.relay.units.units[1].connections
     assert len(unit.look()) < 65000
 
+
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_a_connection_that_fails_before_the_last_byte_never_ran_and_even_unsafe_work_goes_on(
-        world, how, monkeypatch):
+    world, how, monkeypatch
+):
     it = world(units=2, buffer=4096)
     client = it.client()
     head = ask("k", kind="pay").replace(b"*4", b"*5", 1)
@@ -378,8 +449,16 @@
     client.sendall(head + b"$65000\r\n" + b"x" * 65000 + b"\r\n")
 
     def half():
-        return next((a for held in it.relay.module.open.values() for a in held.attempts if a.connection
-                     and a.connection._stream and a.connection._stream.unsent), None)
+        return next(
+            (
+                a
+                for held in it.relay.module.open.values()
+                for a in held.attempts
+                if a.connection and a.connection._stream and a.connection._stream.unsent
+            ),
+            None,
+        )
+
     for _ in range(100):
         it.scheduler.turn(it.clock.now())
         if attempt := half():
@@ -405,6 +484,7 @@
         stream = dial(cls, *values, **more)
         stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         return stream
+
     monkeypatch.setattr(Stream, "dial", classmethod(dialled))
 
 
@@ -515,8 +595,9 @@
     client = it.client()
     client.sendall(ask("again"))
     for _ in range(2):
-        unit = it.until(lambda: next((u for u in it.units.values() if b"again" in u.look()), None)
-                        or it.step(10, 1))
+        unit = it.until(
+            lambda: next((u for u in it.units.values() if b"again" in u.look()), None) or it.step(10, 1)
+        )
         peer = unit.asked(b"again")
         unit.heard[peer] = b""
         peer.sendall(b"-ERR failed\r\n")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,8 +6,13 @@
 from loftroute.lab.fleet import Fleet
 from loftroute.lab.setup import MS, SECOND, SETUP
 
-LARGE = {"family_info__calls_per_s": 15.0, "family_info__ayes_needed": 75, "family_info__to_abort": 29,
-         "family_info__stage_cap": [0.16, 1.0, 1.0], "family_info__stage_share": [0.08, 0.6, 1.0]}
+LARGE = {
+    "family_info__calls_per_s": 15.0,
+    "family_info__ayes_needed": 75,
+    "family_info__to_abort": 29,
+    "family_info__stage_cap": [0.16, 1.0, 1.0],
+    "family_info__stage_share": [0.08, 0.6, 1.0],
+}
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -32,7 +37,8 @@
     fleet.offer(2, 2)
     take = fleet.platform.vote
     fleet.platform.vote = lambda now, n, vote: (
-        take(now, n, vote) if fleet.random.random() < 0.4 else i.Outcome.FULL)
+        take(now, n, vote) if fleet.random.random() < 0.4 else i.Outcome.FULL
+    )
     fleet.run(25 * SECOND)
     assert fleet.platform.state.stage >= 1
 
@@ -55,16 +61,28 @@
     rate, units, work = 3.2 * instances, instances // 2, 312 * MS  # 4 cores a unit
     votes = {"calls_per_s": 100.0, "ayes_needed": round(0.4 * instances), "to_abort": round(0.15 * instances)}
     services = [{**service, "aim": 1600 * MS, "hard_limit": 4 * SECOND} for service in SETUP["services"]]
-    fleet = Fleet(instances, units, seed, rate, work, rough=0.4, services=services, **{
-        **LARGE, **{f"family_info__{key}": value for key, value in votes.items()}})
+    fleet = Fleet(
+        instances,
+        units,
+        seed,
+        rate,
+        work,
+        rough=0.4,
+        services=services,
+        **{**LARGE, **{f"family_info__{key}": value for key, value in votes.items()}},
+    )
     fleet.run(3 * SECOND)
     fleet.roll(2, **kind)
     fleet.run(24 * SECOND)
     return fleet
 
 
-BAD = {"slow": {"slow": 2.5}, "silent for its slowness": {"slow": 5.0}, "failing": {"fails": 0.25},
-       "slow and failing after a while": {"slow": 2.5, "fails": 0.15, "sound": 4 * SECOND}}
+BAD = {
+    "slow": {"slow": 2.5},
+    "silent for its slowness": {"slow": 5.0},
+    "failing": {"fails": 0.25},
+    "slow and failing after a while": {"slow": 2.5, "fails": 0.15, "sound": 4 * SECOND},
+}
 
 
 @pytest.mark.parametrize("kind", BAD)
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -10,8 +10,10 @@
 
 def test_logs_of_two_relays_become_sums_and_means(tmp_path, capsys):
     aside = "6.2 00:00:06.000 INFO module: server 11 set aside 1000 ms, no answer"
-    leaves = ("9.5 00:00:09.000 INFO module: build 7 leaves stage 1: 1 bad of 2, 0 errors of 4, "
-              "0 resets of 4, 2 slow of 3, 12 of the earlier")
+    leaves = (
+        "9.5 00:00:09.000 INFO module: build 7 leaves stage 1: 1 bad of 2, 0 errors of 4, "
+        "0 resets of 4, 2 slow of 3, 12 of the earlier"
+    )
     vote = "7.1 00:00:07.000 INFO vote on on build 7 stage 0: ok"
     alarm = "8.0 00:00:08.000 INFO module: build 7: alarm, 4 slow of 6"
     (tmp_path / "n1.log").write_text("\n".join([HEAD, aside, vote, leaves]))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,7 +7,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-TESTS = '''
+TESTS = """
 import pytest
 
 def test_red():
@@ -19,7 +19,7 @@
 @pytest.mark.parametrize("n", [1, 2])
 def test_one_of_two(n):
     assert n == 1
-'''
+"""
 RED = "tests/test_it.py::test_red: two is not one yet (issue 7)"
 HALF = "tests/test_it.py::test_one_of_two[2]: two is not one here either (issue 7)"
 
@@ -33,10 +33,25 @@
     def go(*lines, workers="0"):
         if lines:
             (tmp_path / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
-        command = [sys.executable, "-B", "-m", "pytest", "-q", "-p", "tests.known_red", "-p",
-                   "no:cacheprovider", "-n", workers, "--rootdir", str(tmp_path), str(tmp_path / "tests")]
+        command = [
+            sys.executable,
+            "-B",
+            "-m",
+            "pytest",
+            "-q",
+            "-p",
+            "tests.known_red",
+            "-p",
+            "no:cacheprovider",
+            "-n",
+            workers,
+            "--rootdir",
+            str(tmp_path),
+            str(tmp_path / "tests"),
+        ]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
         return done.returncode, done.stdout + done.stderr
+
     return go
 
 
@@ -58,13 +73,20 @@
     assert status == 1 and "1 failed" in said and "XPASS(strict)" in said
 
 
-@pytest.mark.parametrize("line", [
-    "tests/test_it.py::test_gone: nobody knows it (issue 7)",
-    "tests/test_gone.py::test_red: nobody knows it (issue 7)",
-    "tests/test_it.py::test_one_of_two[3]: no such case (issue 7)",
-    "tests/test_it.py::test_red", "tests/test_it.py::test_red:  (issue 7)",
-    "tests/test_it.py::test_red: a cause", "tests/test_it.py::test_red: a cause (issue)", "it is red", RED,
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "tests/test_it.py::test_gone: nobody knows it (issue 7)",
+        "tests/test_gone.py::test_red: nobody knows it (issue 7)",
+        "tests/test_it.py::test_one_of_two[3]: no such case (issue 7)",
+        "tests/test_it.py::test_red",
+        "tests/test_it.py::test_red:  (issue 7)",
+        "tests/test_it.py::test_red: a cause",
+        "tests/test_it.py::test_red: a cause (issue)",
+        "it is red",
+        RED,
+    ],
+)
 def test_a_line_that_names_no_test_or_lacks_a_part_fails_the_run(run, line):
     status, said = run(RED, HALF, line)
     assert status not in (0, 5) and "KNOWN-RED.txt: " in said
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -32,9 +32,27 @@
 
 def test_no_other_runtime_file_holds_a_tuned_value():
     """Outside the policy, upper-case names hold words of the wire or its bounds, never figures of choice."""
-    known = {"LEDGERS", "BUILDS", "MS", "US", "VALUE_LIMIT", "LINE_LIMIT", "WORDS_LIMIT", "DEPTH_LIMIT",
-             "DIGITS_LIMIT", "HEAD_LIMIT", "BODY_LIMIT", "ENTRIES_LIMIT", "WHOLE_LIMIT", "NAME_LIMIT",
-             "NUMBERS_KEPT", "OWN_DESCRIPTORS", "SECOND", "PROTOCOL_NUMBER", "INTERVAL_LIMIT"}
+    known = {
+        "LEDGERS",
+        "BUILDS",
+        "MS",
+        "US",
+        "VALUE_LIMIT",
+        "LINE_LIMIT",
+        "WORDS_LIMIT",
+        "DEPTH_LIMIT",
+        "DIGITS_LIMIT",
+        "HEAD_LIMIT",
+        "BODY_LIMIT",
+        "ENTRIES_LIMIT",
+        "WHOLE_LIMIT",
+        "NAME_LIMIT",
+        "NUMBERS_KEPT",
+        "OWN_DESCRIPTORS",
+        "SECOND",
+        "PROTOCOL_NUMBER",
+        "INTERVAL_LIMIT",
+    }
     runtime = {"decision", "protocol", "runtime", "relay", "bench"}
     for path in (ROOT / "loftroute").rglob("*.py"):
         if path != POLICY and path.parent.name in runtime:
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -29,7 +29,8 @@
 SETTINGS: dict[str, dict[str, Any]] = {
     "one class": {"services": [service("only")]},
     "a name that begins another": {
-        "services": [service("a"), service("ab", "unsafe"), service("abc", "keyed")]},
+        "services": [service("a"), service("ab", "unsafe"), service("abc", "keyed")]
+    },
     "twenty classes": {"services": [service(f"c{n}", ("safe", "keyed", "unsafe")[n % 3]) for n in range(20)]},
     "all unsafe": {"services": [service(name, "unsafe") for name in ("x", "y")]},
     "none keyed": {"services": [service("x"), service("y", "unsafe")]},
@@ -50,7 +51,10 @@
     "further keys": {"services": [service("x", colour="red")], "weather": {"rain": True}, "parties": PARTIES},
     "absent optional ones": {
         "services": [spare(service("x"), "group", "window", "worth", "late_worth", "stream")],
-        "prices": None, "reporting": None, "weights": None},
+        "prices": None,
+        "reporting": None,
+        "weights": None,
+    },
     "no ceilings": {"ceilings": None},
     "no obligations": {"obligations": None},
     "nothing of builds": {"family_info": None},
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -10,8 +10,9 @@
 from loftroute.protocol import NeedMore, ProtocolError, catalog, http1, jobs, pipeline, resp
 
 MS = 1_000_000
-NAMES = jobs.Names({"read": 0, "put": 1, "pay": 2}, {"acme": 0, "beta": 1},
-                   (i.Effect.SAFE, i.Effect.KEYED, i.Effect.UNSAFE))
+NAMES = jobs.Names(
+    {"read": 0, "put": 1, "pay": 2}, {"acme": 0, "beta": 1}, (i.Effect.SAFE, i.Effect.KEYED, i.Effect.UNSAFE)
+)
 quick = settings(derandomize=True, max_examples=200, deadline=None)
 texts = st.text("abcdefghij0123456789-_:/%", min_size=1, max_size=40)
 
@@ -34,8 +35,10 @@
 
 
 values = st.recursive(
-    st.one_of(st.none(), st.binary(max_size=30), st.integers(-10**9, 10**9)),
-    lambda inner: st.lists(inner, max_size=4), max_leaves=8)
+    st.one_of(st.none(), st.binary(max_size=30), st.integers(-(10**9), 10**9)),
+    lambda inner: st.lists(inner, max_size=4),
+    max_leaves=8,
+)
 
 
 def written(value):
@@ -72,8 +75,10 @@
 
 
 @quick
-@given(st.binary(max_size=120),
-       st.sampled_from([b"", b"*", b"*3\r\n$", b"*4\r\n$5\r\nQ.ASK\r\n$", b"HTTP/1.1 200 "]))
+@given(
+    st.binary(max_size=120),
+    st.sampled_from([b"", b"*", b"*3\r\n$", b"*4\r\n$5\r\nQ.ASK\r\n$", b"HTTP/1.1 200 "]),
+)
 def test_garbage_raises_nothing_but_the_parsers_own_errors(rest, head):
     data = bytearray(head + rest)
     for parser in (resp.parse, resp.command, resp.reply, http1.head, http1.chunk, http1.response):
@@ -105,11 +110,14 @@
 
 
 requests = st.tuples(
-    st.sampled_from([("Q.ASK", "read"), ("Q.DO", "put"), ("Q.DO", "pay"), ("Q.ASK", "put")]), texts,
-    st.sampled_from(["9b1f03aa5c7e2d41", "9B1F03AA5C7E2D41", "9b1f"]), st.sampled_from(["acme", "beta", "x"]),
+    st.sampled_from([("Q.ASK", "read"), ("Q.DO", "put"), ("Q.DO", "pay"), ("Q.ASK", "put")]),
+    texts,
+    st.sampled_from(["9b1f03aa5c7e2d41", "9B1F03AA5C7E2D41", "9b1f"]),
+    st.sampled_from(["acme", "beta", "x"]),
     st.integers(0, 99999),
     st.lists(st.sampled_from(["k=5c0f", "r=1", "h=700", "r=0", "z=1", "h=x"]), max_size=3),
-    st.one_of(st.none(), st.binary(max_size=40)))
+    st.one_of(st.none(), st.binary(max_size=40)),
+)
 
 
 @quick
@@ -153,8 +161,11 @@
 def test_a_response_comes_back_whole_split_anywhere(parts, chunked):
     body = b"".join(parts)
     if chunked:
-        raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"".join(
-            b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+        raw = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+            + b"0\r\n\r\n"
+        )
     else:
         raw = b"HTTP/1.1 429 no\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
     for end in range(len(raw)):
@@ -165,8 +176,17 @@
     assert (found.status, found.body, after) == (200 if chunked else 429, body, len(raw))
 
 
-ENTRY = {"instanceId": "s-1", "hostPort": "10.1.0.18:6379", "zone": "b", "machineType": "m2", "cell": 3,
-         "lifecycle": "DRAINING", "weight": 1.5, "startedAtMs": 1700, "release": 41}
+ENTRY = {
+    "instanceId": "s-1",
+    "hostPort": "10.1.0.18:6379",
+    "zone": "b",
+    "machineType": "m2",
+    "cell": 3,
+    "lifecycle": "DRAINING",
+    "weight": 1.5,
+    "startedAtMs": 1700,
+    "release": 41,
+}
 
 
 def test_a_list_is_read_and_a_name_keeps_its_number():
@@ -184,12 +204,27 @@
     assert str(second.addresses[entry.server]) == "10.1.0.19:6379" and second.event.entries[1].started == 0
 
 
-@pytest.mark.parametrize("change", [
-    {"instanceId": 7}, {"hostPort": "nowhere"}, {"lifecycle": "LOST"}, {"release": -1}, {"weight": "big"},
-    {"release": None}, {"release": "41"}, {"release": True}, {"release": 41.5}, {"weight": 0},
-    {"weight": 1e400},
-    {"startedAtMs": -1}, {"cell": "3"}, {"hostPort": 6379}, {"lifecycle": ["SERVING"]}, {"instanceId": ""},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"instanceId": 7},
+        {"hostPort": "nowhere"},
+        {"lifecycle": "LOST"},
+        {"release": -1},
+        {"weight": "big"},
+        {"release": None},
+        {"release": "41"},
+        {"release": True},
+        {"release": 41.5},
+        {"weight": 0},
+        {"weight": 1e400},
+        {"startedAtMs": -1},
+        {"cell": "3"},
+        {"hostPort": 6379},
+        {"lifecycle": ["SERVING"]},
+        {"instanceId": ""},
+    ],
+)
 def test_a_list_that_is_not_one_is_refused(change):
     listing = {"generation": 7, "reset": True, "instances": [{**ENTRY, **change}]}
     with pytest.raises(ProtocolError):
@@ -252,10 +287,25 @@
     for status, outcome in ((429, i.Outcome.FULL), (409, i.Outcome.MOOT), (500, i.Outcome.ERROR)):
         assert pipeline.vote_answer(status, b"") == pipeline.not_counted(outcome)
     assert json.loads(pipeline.vote_body(i.Vote(1, 42, i.Verdict.ON))) == {
-        "release": 42, "tranche": 1, "ruling": "on"}
-    for bad in (b"[]", b'{"type":"stage"}', b'{"type":"stage","object":{"release":NaN}}', b'{"typo":"stage"}',
-                *(json.dumps({"type": "stage", "object": {**STATE, **change}}).encode() for change in (
-                    {"release": "42"}, {"tranche": None}, {"exposure": True}, {"mode": "Gone"},
-                    {"old_ms": -1}))):
+        "release": 42,
+        "tranche": 1,
+        "ruling": "on",
+    }
+    for bad in (
+        b"[]",
+        b'{"type":"stage"}',
+        b'{"type":"stage","object":{"release":NaN}}',
+        b'{"typo":"stage"}',
+        *(
+            json.dumps({"type": "stage", "object": {**STATE, **change}}).encode()
+            for change in (
+                {"release": "42"},
+                {"tranche": None},
+                {"exposure": True},
+                {"mode": "Gone"},
+                {"old_ms": -1},
+            )
+        ),
+    ):
         with pytest.raises(ProtocolError):
             pipeline.change(bad)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -177,8 +177,12 @@
     services = setup()["services"]
     services[1]["window"] = 60 * SECOND
     units = {f"u{n}": Unit("hang") for n in range(4)}
-    it = relay(units, product=product(tmp_path), unit_zones={"u0": "a", "u1": "b", "u2": "a", "u3": "b"},
-               services=services)
+    it = relay(
+        units,
+        product=product(tmp_path),
+        unit_zones={"u0": "a", "u1": "b", "u2": "a", "u3": "b"},
+        services=services,
+    )
     name, client = it.id(), it.client()
     client.send("Q.DO", "k1", name, "c=put,t=acme,d=3000,k=5c", "BODY")
     first = eventually(lambda: [n for n, u in units.items() if u.seen])[0]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -33,7 +33,7 @@
     client = it.client()
     raw = b"".join(command("Q.ASK", f"k{n}", it.id(), "c=read,t=acme,d=2000") for n in range(5))
     for at in range(0, len(raw), 7):
-        client.sock.sendall(raw[at:at + 7])
+        client.sock.sendall(raw[at : at + 7])
     assert [client.read() for _ in range(5)] == [b"value of k%d" % n for n in range(5)]
 
 
@@ -142,8 +142,9 @@
 
 def test_a_vote_that_is_throttled_is_sent_again(relay):
     news = {"release": 42, "tranche": 1, "mode": "Progressing", "exposure": 1.0, "old_ms": 9000}
-    it = relay({"u1": Unit(), "u2": Unit()}, builds={"u2": 42}, news=news,
-               family_info__min_dwell=SECOND // 10)
+    it = relay(
+        {"u1": Unit(), "u2": Unit()}, builds={"u2": 42}, news=news, family_info__min_dwell=SECOND // 10
+    )
     it.platform.state, it.platform.status = news, 429
     client = it.client()
     eventually(lambda: it.read(client) and len(it.platform.votes) > 1, 12)
@@ -162,11 +163,14 @@
     assert staying.read() == b"value of k2"
 
 
-@pytest.mark.parametrize(("raw", "word"), [
-    (b"GET / HTTP/1.1\r\n\r\n", b"-ERR"),
-    (b"*1\r\n$99999999\r\n", b"-ERR"),
-    (b"*2\r\n$4\r\nPING\r\n:1\r\n", b"-ERR"),
-])
+@pytest.mark.parametrize(
+    ("raw", "word"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", b"-ERR"),
+        (b"*1\r\n$99999999\r\n", b"-ERR"),
+        (b"*2\r\n$4\r\nPING\r\n:1\r\n", b"-ERR"),
+    ],
+)
 def test_lost_framing_ends_that_connection_alone(relay, raw, word):
     it = relay({"u1": Unit()})
     client = it.client()
@@ -175,17 +179,20 @@
     assert it.read(it.client()) == b"value of k1"
 
 
-@pytest.mark.parametrize("words", [
-    ("NOPE",),
-    ("Q.ASK", "k"),
-    ("Q.ASK", "k", "no-id", "c=read,t=acme,d=100"),
-    ("Q.ASK", "k", "0" * 16, "c=nothing,t=acme,d=100"),
-    ("Q.ASK", "k", "0" * 16, "c=read,t=nobody,d=100"),
-    ("Q.ASK", "k", "0" * 16, "c=read,t=acme,d=0"),
-    ("Q.ASK", "k", "0" * 16, "c=read,t=acme,d=1,d=2"),
-    ("Q.ASK", "k", "0" * 16, "c=pay,t=acme,d=100"),
-    ("Q.DO", "k", "0" * 16, "c=read,t=acme,d=100", "BODY"),
-])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("NOPE",),
+        ("Q.ASK", "k"),
+        ("Q.ASK", "k", "no-id", "c=read,t=acme,d=100"),
+        ("Q.ASK", "k", "0" * 16, "c=nothing,t=acme,d=100"),
+        ("Q.ASK", "k", "0" * 16, "c=read,t=nobody,d=100"),
+        ("Q.ASK", "k", "0" * 16, "c=read,t=acme,d=0"),
+        ("Q.ASK", "k", "0" * 16, "c=read,t=acme,d=1,d=2"),
+        ("Q.ASK", "k", "0" * 16, "c=pay,t=acme,d=100"),
+        ("Q.DO", "k", "0" * 16, "c=read,t=acme,d=100", "BODY"),
+    ],
+)
 def test_a_bad_request_gets_an_error_is_not_passed_on_and_the_connection_stays(relay, words):
     unit = Unit()
     it = relay({"u1": unit})
@@ -239,19 +246,27 @@
     assert it.read(it.client()) == b"value of k1" and it.process.poll() is None
 
 
-@pytest.mark.parametrize(("key", "value", "named"), [
-    ("listen", "nowhere", "listen"),
-    ("seed", "xyz", "seed"),
-    ("known", {"generation": 1}, "known"),
-    ("settings", None, "settings"),
-    ("settings", {"services": [{"name": "a"}]}, "settings.services[0].hard_limit"),
-    ("settings", {"ceilings": {"max_attempts": "two"}}, "settings.ceilings.max_attempts"),
-    ("limits", {"sockets": 10}, "limits.sockets"),
-    ("pipeline", {"address": "127.0.0.1:1", "news": {"release": 1}}, "pipeline.news"),
-])
+@pytest.mark.parametrize(
+    ("key", "value", "named"),
+    [
+        ("listen", "nowhere", "listen"),
+        ("seed", "xyz", "seed"),
+        ("known", {"generation": 1}, "known"),
+        ("settings", None, "settings"),
+        ("settings", {"services": [{"name": "a"}]}, "settings.services[0].hard_limit"),
+        ("settings", {"ceilings": {"max_attempts": "two"}}, "settings.ceilings.max_attempts"),
+        ("limits", {"sockets": 10}, "limits.sockets"),
+        ("pipeline", {"address": "127.0.0.1:1", "news": {"release": 1}}, "pipeline.news"),
+    ],
+)
 def test_a_bad_configuration_ends_with_status_2_and_names_the_key(tmp_path, key, value, named):
-    config = {"listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "1f",
-              "settings": {"services": []}, "limits": {"sockets": 256}}
+    config = {
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": "127.0.0.1:1",
+        "seed": "1f",
+        "settings": {"services": []},
+        "limits": {"sockets": 256},
+    }
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**config, key: value}))
     done = start(RELAY_CONFIG=str(path))
@@ -267,5 +282,12 @@
 
 def start(**variables: str) -> subprocess.CompletedProcess[str]:
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-    return subprocess.run(["/bin/sh", "-c", run], cwd=ROOT, env={**os.environ, **variables},
-                          capture_output=True, text=True, timeout=20, check=False)
+    return subprocess.run(
+        ["/bin/sh", "-c", run],
+        cwd=ROOT,
+        env={**os.environ, **variables},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,6 +11,7 @@
 
 # ---- 1: no request is lost
 
+
 def test_every_request_ends_once_and_nothing_is_sent_after():
     draw = random.Random(3)
     relay = Relay()
@@ -75,6 +76,7 @@
 
 # ---- 2: no effect twice
 
+
 @pytest.mark.parametrize("how", ["Failed", "TimedOut", "ResetByPeer", "Canceled"])
 def test_unsafe_work_that_may_have_run_is_failed_and_never_sent_or_refused(how):
     relay = Relay()
@@ -148,6 +150,7 @@
 
 # ---- 3: drains
 
+
 @pytest.mark.parametrize("state", ["cordoned", "deregistered"])
 def test_nothing_goes_to_a_server_from_the_batch_on_that_says_it_leaves(state):
     relay = Relay()
@@ -165,6 +168,7 @@
 
 # ---- 4: cold servers
 
+
 def test_an_overload_does_not_push_over_a_cold_server():
     """In any window of the stated length the work sent to it stays within this instance's part."""
     relay = Relay()
@@ -217,6 +221,7 @@
 
 # ---- 5: exposure
 
+
 def exposure(relay: Relay, cap: float, free: float, length: int, steps: int, seed: int) -> int:
     """Plays uneven traffic and checks every span that ends or starts at an attempt."""
     draw = random.Random(seed)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -105,6 +105,7 @@
                 ran.append(name)
                 scheduler.wake(scheduler_task[name])
                 scheduler.park()
+
         return run
 
     scheduler_task = {}
@@ -201,10 +202,10 @@
 
 def fill(buffer, data):
     space = buffer.space()
-    part = data[:len(space)]
-    space[:len(part)] = part
+    part = data[: len(space)]
+    space[: len(part)] = part
     buffer.end += len(part)
-    return data[len(part):]
+    return data[len(part) :]
 
 
 def test_slices_stay_as_they_were_whatever_is_read_later():
@@ -242,8 +243,9 @@
 @pytest.mark.parametrize(("flags", "shown"), [([], "AssertionError"), (["-O"], "0 {'never': 1}")])
 def test_a_broken_invariant_stops_a_debug_build_and_is_counted_otherwise(flags, shown):
     text = "from loftroute.invariants import broken, holds; print(holds(0, 'never'), dict(broken))"
-    done = subprocess.run([sys.executable, "-B", *flags, "-c", text], cwd=ROOT, capture_output=True,
-                          text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-B", *flags, "-c", text], cwd=ROOT, capture_output=True, text=True, check=False
+    )
     assert shown in done.stdout + done.stderr and (done.returncode == 0) == bool(flags)
     assert invariants.holds(True, "fine")
 
@@ -256,21 +258,61 @@
             yield node.module or ""
 
 
-@pytest.mark.parametrize(("layer", "barred"), [
-    ("protocol", ("loftroute.runtime", "loftroute.relay", "loftroute.config", "socket", "select", "time")),
-    ("decision", ("loftroute.runtime", "loftroute.relay", "loftroute.protocol", "loftroute.config")),
-    ("runtime", ("loftroute.relay", "loftroute.decision", "loftroute.config")),
-    ("relay", ("socket", "select", "selectors", "asyncio", "time", "loftroute.bench", "loftroute.store",
-               "loftroute.recall", "loftroute.settings", "loftroute.cli", "loftroute.lab")),
-    ("settings", ("loftroute.runtime", "loftroute.relay", "loftroute.store", "loftroute.recall", "time")),
-    ("store", ("loftroute.relay", "loftroute.recall", "loftroute.settings", "loftroute.cli", "loftroute.lab",
-               "loftroute.decision")),
-    ("recall", ("loftroute.cli", "loftroute.lab", "socket", "time", "os")),
-    ("vrrp", ("loftroute.relay", "loftroute.store", "loftroute.recall", "loftroute.pair", "loftroute.cli",
-              "loftroute.lab", "socket", "select")),
-    ("pair", ("loftroute.cli", "loftroute.lab", "socket", "select")),
-    ("cli", ("select", "time", "loftroute.lab")),
-])
+@pytest.mark.parametrize(
+    ("layer", "barred"),
+    [
+        (
+            "protocol",
+            ("loftroute.runtime", "loftroute.relay", "loftroute.config", "socket", "select", "time"),
+        ),
+        ("decision", ("loftroute.runtime", "loftroute.relay", "loftroute.protocol", "loftroute.config")),
+        ("runtime", ("loftroute.relay", "loftroute.decision", "loftroute.config")),
+        (
+            "relay",
+            (
+                "socket",
+                "select",
+                "selectors",
+                "asyncio",
+                "time",
+                "loftroute.bench",
+                "loftroute.store",
+                "loftroute.recall",
+                "loftroute.settings",
+                "loftroute.cli",
+                "loftroute.lab",
+            ),
+        ),
+        ("settings", ("loftroute.runtime", "loftroute.relay", "loftroute.store", "loftroute.recall", "time")),
+        (
+            "store",
+            (
+                "loftroute.relay",
+                "loftroute.recall",
+                "loftroute.settings",
+                "loftroute.cli",
+                "loftroute.lab",
+                "loftroute.decision",
+            ),
+        ),
+        ("recall", ("loftroute.cli", "loftroute.lab", "socket", "time", "os")),
+        (
+            "vrrp",
+            (
+                "loftroute.relay",
+                "loftroute.store",
+                "loftroute.recall",
+                "loftroute.pair",
+                "loftroute.cli",
+                "loftroute.lab",
+                "socket",
+                "select",
+            ),
+        ),
+        ("pair", ("loftroute.cli", "loftroute.lab", "socket", "select")),
+        ("cli", ("select", "time", "loftroute.lab")),
+    ],
+)
 def test_layers_import_only_what_lies_below(layer, barred):
     for path in (ROOT / "loftroute" / layer).glob("*.py"):
         names = set(imported(path))
@@ -279,9 +321,22 @@
         assert not {"asyncio", "gevent", "selectors", "redis"} & {n.split(".")[0] for n in imported(path)}
 
 
-CORES = ["store/records.py", "store/index.py", "store/state.py", "store/plan.py", "store/time.py",
-         "moments.py", "recall/decisions.py", "runtime/background.py", "protocol/vrrp.py", "vrrp/machine.py",
-         "vrrp/envelope.py", "vrrp/tracking.py", "pair/fence.py", "pair/wire.py"]
+CORES = [
+    "store/records.py",
+    "store/index.py",
+    "store/state.py",
+    "store/plan.py",
+    "store/time.py",
+    "moments.py",
+    "recall/decisions.py",
+    "runtime/background.py",
+    "protocol/vrrp.py",
+    "vrrp/machine.py",
+    "vrrp/envelope.py",
+    "vrrp/tracking.py",
+    "pair/fence.py",
+    "pair/wire.py",
+]
 
 
 @pytest.mark.parametrize("core", CORES)
@@ -296,10 +351,13 @@
 
 def test_without_a_command_nothing_of_the_product_is_imported():
     """The platform's relay: the same modules as ever, none of the product's libraries."""
-    script = ("import sys; sys.argv = ['loftroute']; import loftroute.__main__; "
-              "import loftroute.relay.lifecycle; print(*sys.modules)")
-    loaded = subprocess.run([sys.executable, "-B", "-c", script], cwd=ROOT, capture_output=True, text=True,
-                            check=True).stdout.split()
+    script = (
+        "import sys; sys.argv = ['loftroute']; import loftroute.__main__; "
+        "import loftroute.relay.lifecycle; print(*sys.modules)"
+    )
+    loaded = subprocess.run(
+        [sys.executable, "-B", "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout.split()
     libraries = {"click", "google", "google_crc32c", "lark", "msgpack", "sortedcontainers"}
     ours = {"store", "recall", "settings", "cli", "lab", "vrrp", "pair"}
     assert not libraries & {name.split(".")[0] for name in loaded}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -161,9 +161,21 @@
 def test_lists_of_well_over_a_thousand_units_and_relays_are_taken_whole():
     """The users play about 230 relays and hundreds of units; nothing may stop short of 1,024 of either."""
     units = 1100
-    listed = {"instances": [
-        {"instanceId": f"u{n}", "hostPort": f"127.0.0.1:{1024 + n}", "lifecycle": "SERVING", "zone": "a",
-         "release": 1, "cell": 0} for n in range(units)], "generation": 1, "reset": True}
+    listed = {
+        "instances": [
+            {
+                "instanceId": f"u{n}",
+                "hostPort": f"127.0.0.1:{1024 + n}",
+                "lifecycle": "SERVING",
+                "zone": "a",
+                "release": 1,
+                "cell": 0,
+            }
+            for n in range(units)
+        ],
+        "generation": 1,
+        "reset": True,
+    }
     catalog = Catalog({"a": 0}, {})
     listing = catalog.read(json.dumps(listed, indent=1).encode())
     assert len(listing.addresses) == units
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -47,8 +47,9 @@
     return alarm, half
 
 
-def scanned(prefix: list[int], trial: list[int], peers: list[int], servers: int = 1,
-            kind: str = "bad") -> Scan:
+def scanned(
+    prefix: list[int], trial: list[int], peers: list[int], servers: int = 1, kind: str = "bad"
+) -> Scan:
     scan = Scan(kind, [(0, value, value, 0.0) for value in prefix])
     for n, value in enumerate(trial):
         scan.add(value, n % servers, len(peers) >= policy.PEERLESS, lambda _: (servers, peers))
@@ -89,6 +90,7 @@
 
     def look(scan: Scan) -> tuple[int, list[int]]:
         return 4, [scan.read(o) for o in prefix]
+
     for n in range(64):
         slow.add(slow.read((0, 0, 0, 2.5)), n % 4, True, look)
         alike.add(alike.read((0, 0, 0, 1.0 + n / 64)), n % 4, True, look)
@@ -139,6 +141,7 @@
 
 def test_failures_that_come_by_themselves_to_any_build_raise_no_alarm_and_few_doubts():
     """Spoilt answers, connections that break: one in twenty of all kept outcomes, and of a good build's."""
+
     def alarms(share: float, seed: int) -> tuple[bool, int]:
         drawn = Random(seed)
         kept = [(0, bad, bad, 0.0) for bad in (int(drawn.random() < 0.05) for _ in range(1024))]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -95,8 +95,9 @@
     unit = Unit("wait")
     it = relay({"u1": unit}, sockets=64)
     leaving, staying = it.client(), it.client()
-    leaving.sock.sendall(b"".join(
-        command("Q.ASK", "gone", it.id(), "c=read,t=acme,d=2900") for _ in range(18)))
+    leaving.sock.sendall(
+        b"".join(command("Q.ASK", "gone", it.id(), "c=read,t=acme,d=2900") for _ in range(18))
+    )
     eventually(lambda: len(unit.seen) >= 14)
     leaving.close()
     unit.go.set()
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -61,10 +61,15 @@
 
     def go(text):
         (place / "v.toml").write_text(text)
-        done = subprocess.run([sys.executable, "-B", str(script), "--kit", str(kit.parent), "v"],
-                              capture_output=True, text=True, timeout=30)
+        done = subprocess.run(
+            [sys.executable, "-B", str(script), "--kit", str(kit.parent), "v"],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
         laid = place / "laid" / "v"
         return done.returncode, done.stderr, {path.name: path.read_text() for path in laid.glob("*")}
+
     return go
 
 
@@ -72,20 +77,33 @@
     status, said, laid = lay(CHANGES)
     assert status == 0 and said == ""
     assert {name: laid[name] for name in laid if name != "v.toml"} == {
-        name: name for name in ("real.json", "wire.json", "unlock.txt")}
+        name: name for name in ("real.json", "wire.json", "unlock.txt")
+    }
     assert tomllib.loads(laid["v.toml"]) == {
-        "name": "there", "net": {"zones": ["ä", "b"]},
+        "name": "there",
+        "net": {"zones": ["ä", "b"]},
         "tier": [{"name": "servers", "conn": {"idle_s": 6}, "kind": [{"name": "std", "cores": 8}]}],
-        "class": [{"name": "xy", "share": 0.5, "cancel": False}, {"name": "y", "share": 1},
-                  {"name": "z", "share": 1}],
-        "tenant": [{"name": "u"}]}
+        "class": [
+            {"name": "xy", "share": 0.5, "cancel": False},
+            {"name": "y", "share": 1},
+            {"name": "z", "share": 1},
+        ],
+        "tenant": [{"name": "u"}],
+    }
 
 
-@pytest.mark.parametrize(("old", "new", "named"), [
-    ('"class.x.share"', '"class.x.weight"', "class.x.weight"), ('"class.x.share"', '"class.q.share"', "'q'"),
-    ('"net.zones"', '"nets.zones"', "'nets'"), ('"class.x" =', '"class.w" =', "class.w"),
-    ('"tenant.t"', '"net.zones"', "name"), ("here.toml", "gone.toml", "gone.toml"), ("[set]", "[set", "line"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('"class.x.share"', '"class.x.weight"', "class.x.weight"),
+        ('"class.x.share"', '"class.q.share"', "'q'"),
+        ('"net.zones"', '"nets.zones"', "'nets'"),
+        ('"class.x" =', '"class.w" =', "class.w"),
+        ('"tenant.t"', '"net.zones"', "name"),
+        ("here.toml", "gone.toml", "gone.toml"),
+        ("[set]", "[set", "line"),
+    ],
+)
 def test_a_key_that_is_not_there_is_one_line_and_nothing_is_laid(lay, old, new, named):
     status, said, laid = lay(CHANGES.replace(old, new))
     assert status == 2 and laid == {}
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -29,8 +29,9 @@
         self.scheduler = Scheduler(Clock(), self._failed)
         self.units = Units(self.scheduler, Transport(warm=0), 16, ())
         entry = i.ServerEntry(1, 0, 0, 0, 1, i.ServerState.READY, 0, 1.0)
-        self.units.listed(Listing(i.ServerList(i.ListKind.FULL, 1, (entry,)),
-                                  {1: Address(*self.listener.getsockname())}))
+        self.units.listed(
+            Listing(i.ServerList(i.ListKind.FULL, 1, (entry,)), {1: Address(*self.listener.getsockname())})
+        )
         self.done: list[tuple[str, jobs.Answer]] = []
 
     @staticmethod
@@ -41,8 +42,16 @@
         head = memoryview(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\n%b\r\n$16\r\n%016d\r\n" % (key.encode(), 1))
         job = jobs.Job("1", key, 0, 0, SECOND, False, None, head, memoryview(b""), b"c=read,", b"")
         now = self.scheduler.clock.now()
-        self.units.send(Attempt(job, 0, 1, now, now + 5 * SECOND,
-                                lambda attempt, answer: self.done.append((attempt.job.key, answer))))
+        self.units.send(
+            Attempt(
+                job,
+                0,
+                1,
+                now,
+                now + 5 * SECOND,
+                lambda attempt, answer: self.done.append((attempt.job.key, answer)),
+            )
+        )
 
     def turn(self) -> None:
         self.scheduler.turn(self.scheduler.clock.now())
@@ -116,17 +125,27 @@
     assert bench.units.dials == 1 and bench.values()[-1] == ("c", b"C")
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"-BUSY?!\r\n", b"-BUSY\r\n\x00noise", b"$-1\r\n", b"$3000000000\r\nxxxx", b"-" + b"x" * 2000,
-    b"*3\r\n$1\r\nA\r\n$1\r\nB\r\n$-1\r\n", b"*3\r\n$1\r\nABC", b"*-7\r\n", b"\xff\xfe",
-    b"-\xc3\xa9 failed\r\n",
-])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"-BUSY?!\r\n",
+        b"-BUSY\r\n\x00noise",
+        b"$-1\r\n",
+        b"$3000000000\r\nxxxx",
+        b"-" + b"x" * 2000,
+        b"*3\r\n$1\r\nA\r\n$1\r\nB\r\n$-1\r\n",
+        b"*3\r\n$1\r\nABC",
+        b"*-7\r\n",
+        b"\xff\xfe",
+        b"-\xc3\xa9 failed\r\n",
+    ],
+)
 def test_a_spoilt_answer_may_have_run_and_its_connection_is_closed_at_once(bench, spoilt):
     bench.send("a")
     peer = bench.asked("a")
     peer.sendall(spoilt)
     bench.until(lambda: bench.done)
-    (_, answer), = bench.done
+    ((_, answer),) = bench.done
     assert answer.outcome is i.Outcome.RESET and answer.value is None
     assert bench.units.open == 0
 
@@ -171,8 +190,9 @@
     pool = Units(scheduler, Transport(), 200, ())
     pool.out = lambda: out  # type: ignore[method-assign]
     entries = tuple(i.ServerEntry(n, 0, 0, 0, 1, i.ServerState.READY, 0, 1.0) for n in range(units))
-    pool.listed(Listing(i.ServerList(i.ListKind.FULL, 1, entries),
-                        {n: Address("127.0.0.1", 9) for n in range(units)}))
+    pool.listed(
+        Listing(i.ServerList(i.ListKind.FULL, 1, entries), {n: Address("127.0.0.1", 9) for n in range(units)})
+    )
     return pool
 
 
@@ -184,6 +204,7 @@
 
 def test_an_idle_connection_is_kept_for_two_thirds_of_what_the_settings_tell():
     """A relay that meets a unit every four seconds would else dial for each attempt."""
+
     def idle(**ceilings):
         return config._transport(config.Section({"ceilings": ceilings})).idle
 
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -103,8 +103,10 @@
     assert all(SECOND <= g <= 4 * SECOND for g in gaps)
 
 
-@pytest.mark.parametrize(("status", "again"), [("Ok", False), ("TimedOut", True), ("QueueFull", True),
-                                               ("Failed", True), ("Ignored", True)])
+@pytest.mark.parametrize(
+    ("status", "again"),
+    [("Ok", False), ("TimedOut", True), ("QueueFull", True), ("Failed", True), ("Ignored", True)],
+)
 def test_a_vote_that_may_not_stand_is_sent_again(status, again):
     relay = relay_on_trial()
     seen = relay.serve(100)
