--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
@@ -32,6 +32,8 @@
     sound: int = 0
     paused_until: int = 0
     gone: bool = False  # no connection comes up
+    speed: float = 1.0  # of each core, beside a machine of weight 1
+    refuses: bool = False  # answers every attempt at once that it is full
     free: list[int] = field(default_factory=list)  # when each core is free
 
     def ready_at(self, now: int, work: float, cold: int, cold_share: float) -> int:
@@ -41,7 +43,8 @@
         begun = max(now, self.free[core], self.paused_until)
         age = min(max(begun - self.entry.started, 0) / cold, 1.0) if self.entry.started else 1.0
         slow = self.slow if self.bad(begun) else 1.0
-        self.free[core] = begun + int(work * slow / (cold_share + (1 - cold_share) * age))
+        pace = self.speed * (cold_share + (1 - cold_share) * age)
+        self.free[core] = begun + int(work * slow / pace)
         return self.free[core]
 
     def bad(self, now: int) -> bool:
@@ -115,15 +118,17 @@
         rate: float = 0.0,
         work: int = 100 * MS,
         rough: float = 0.0,
+        build: int = 1,
         **changes: Any,
     ) -> None:
         raw = setup(instances=instances, **changes)
         self.settings, self.random = config.settings(raw), Random(seed)
         self.now, self.rate, self.work = 10 * SECOND, rate, work
-        self.platform = Platform(raw)
-        self.units = {n: Unit(self._entry(n, 1, 0)) for n in range(1, units + 1)}
+        self.platform = Platform(raw, build)
+        self.units = {n: Unit(self._entry(n, build, 0)) for n in range(1, units + 1)}
         self.finals: dict[str, list[str]] = defaultdict(list)  # how each request ended
         self.attempts: Counter[tuple[int, int]] = Counter()  # by unit and second
+        self.on_arrival: Callable[[Unit, int], None] = lambda unit, work: None  # an attempt reaches a unit
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count(1)
         self.relays = [
@@ -164,8 +169,10 @@
         return tuple(unit.entry for unit in self.units.values())
 
     def start(self, n: int, known: tuple[i.ServerEntry, ...] | None = None, again: bool = False) -> None:
-        """Begin a life; a restart forgets all and knows the last list alone."""
+        """Begin a life; a restart forgets all and knows the last list alone. What was open there is lost."""
         if again:
+            for name in self.relays[n].requests:
+                self.finals[name] = self.finals[name] or ["lost"]
             self.lives[n] += 1
             self.relays[n] = Balancer(self.relays[n].cfg, self.random.randrange(1 << 32))
         self.hand(n, i.Started())
@@ -175,6 +182,13 @@
     def tell_list(self, *changed: i.ServerEntry, late: tuple[int, int] = LATE_NEWS) -> None:
         self._all(lambda n: self.hand(n, i.ServerList(i.ListKind.DELTA, 2, changed)), late)
 
+    def tell_weights(self, weights: Mapping[int, float]) -> None:
+        """The list tells other weights; how fast the units are stays as it is."""
+        for server, weight in weights.items():
+            unit = self.units[server]
+            unit.entry = replace(unit.entry, weight=weight)
+        self.tell_list(*(self.units[server].entry for server in weights))
+
     def tell_news(self) -> None:
         self._all(lambda n: self.hand(n, self.platform.news(self.now)), LATE_NEWS)
 
@@ -186,7 +200,7 @@
         """A build comes on so many new units, in its first stage."""
         self.platform.change(self.now, i.Phase.TRIAL, 0, build)
         self.tell_news()
-        self._add(build, new, kind)
+        self.add(build, new, **kind)
 
     def roll(self, build: int, starts: int = 2 * SECOND, **kind: Any) -> None:
         """A build comes on by stages, each on its share of the places, and takes over when it is released."""
@@ -205,26 +219,47 @@
             gone = state.phase is i.Phase.GOING_BACK
             stay = [u for u in self.units.values() if (u.entry.build == state.build) != gone]
             if not stay:  # the earlier build's machines have left: they start anew
-                self._add(state.build - 1, self.places, {})
-            leave = [u for u in self.units.values() if (u.entry.build == state.build) == gone]
-            for unit in leave:
-                unit.entry = replace(unit.entry, state=i.ServerState.DRAINING)
-            self.tell_list(*(u.entry for u in leave))
-            self.at(self.now + 8 * SECOND, lambda: self._drop(leave))
+                self.add(state.build - 1, self.places)
+            self.drain(u for u in self.units.values() if (u.entry.build == state.build) == gone)
 
     def _grow(self, told: i.ReleaseNews) -> None:
         state = self.platform.state
         if (state.phase, state.build) == (told.phase, told.build):
             share = self.platform.rel["stage_share"][told.stage]
             have = sum(unit.entry.build == told.build for unit in self.units.values())
-            self._add(told.build, round(share * self.places) - have, self.kind)
+            self.add(told.build, round(share * self.places) - have, **self.kind)
 
-    def _add(self, build: int, new: int, kind: dict[str, Any]) -> None:
+    def add(self, build: int, new: int, **kind: Any) -> None:
+        """New units of a build start, and the list tells of them."""
         first = max(self.units) + 1
         fresh = {n: Unit(self._entry(n, build, self.now), **kind) for n in range(first, first + new)}
         self.units |= fresh
         self.tell_list(*(unit.entry for unit in fresh.values()))
 
+    def take_away(self, units: Iterable[Unit]) -> None:
+        """Units stop: no connection comes up, and the list tells that they are gone."""
+        units = list(units)
+        for unit in units:
+            unit.gone = True
+            unit.entry = replace(unit.entry, state=i.ServerState.GONE)
+        self.tell_list(*(unit.entry for unit in units))
+
+    def bring_back(self, units: Iterable[Unit]) -> None:
+        """Units that stopped have just started again: idle, cold and listed as such."""
+        units = list(units)
+        for unit in units:
+            unit.gone, unit.free = False, []
+            unit.entry = replace(unit.entry, state=i.ServerState.READY, started=self.now)
+        self.tell_list(*(unit.entry for unit in units))
+
+    def drain(self, units: Iterable[Unit]) -> None:
+        """The list tells that units take no new work; eight seconds later they are gone."""
+        leave = list(units)
+        for unit in leave:
+            unit.entry = replace(unit.entry, state=i.ServerState.DRAINING)
+        self.tell_list(*(unit.entry for unit in leave))
+        self.at(self.now + 8 * SECOND, lambda: self._drop(leave))
+
     def _drop(self, leave: list[Unit]) -> None:
         for unit in leave:
             unit.entry = replace(unit.entry, state=i.ServerState.GONE)
@@ -245,7 +280,13 @@
 
     # ---- requests
 
+    def stop_traffic(self) -> None:
+        """No request comes from now on; those that are open go on."""
+        self.rate = 0.0
+
     def _request(self) -> None:
+        if not self.rate:
+            return
         n = self.random.choices(range(len(self.relays)), self.weights)[0]
         self.ask(n)
         self.at(self.now + int(self.random.expovariate(self.rate) * SECOND), self._request)
@@ -281,19 +322,27 @@
 
     def _send(self, n: int, action: i.Send) -> None:
         unit, request = self.units[action.server], self.relays[n].requests[action.request]
-        number, outcome = len(request.attempts) - 1, i.Outcome.OK
+        number, work = len(request.attempts) - 1, self.works[action.request]
         self.attempts[action.server, self.now // SECOND] += 1
-        work, settings = self.works[action.request], self.settings
-        done = unit.ready_at(self.now, work, settings.cold, settings.cold_share) + MS
-        if unit.gone:
-            done, outcome = self.now + MS, i.Outcome.CONNECT_FAILED
-        elif self.random.random() < unit.fails and unit.bad(self.now):
+        if not unit.gone:
+            self.on_arrival(unit, work)
+        done, outcome = self._worked(unit, work)
+        if outcome is i.Outcome.OK and self.random.random() < unit.fails and unit.bad(self.now):
             outcome = i.Outcome.ERROR
         if done - self.now > action.timeout:
             done, outcome = self.now + action.timeout, i.Outcome.TIMEOUT
         life, took = self.lives[n], done - self.now
         self.at(done, lambda: self._ended(n, life, action, number, outcome, took))
 
+    def _worked(self, unit: Unit, work: int) -> tuple[int, i.Outcome]:
+        """When an attempt of so much work ends at a unit, and how, as far as the unit's state tells."""
+        if unit.gone:
+            return self.now + MS, i.Outcome.CONNECT_FAILED
+        if unit.refuses:
+            return self.now + MS, i.Outcome.FULL
+        settings = self.settings
+        return unit.ready_at(self.now, work, settings.cold, settings.cold_share) + MS, i.Outcome.OK
+
     def _ended(self, n: int, life: int, action: i.Send, number: int, outcome: i.Outcome, took: int) -> None:
         if self.lives[n] != life:
             return
