Cold servers: a relay's part of the fleet's budget, by chance where it is under one request

Lines at fault: `usually` in _refresh is the median of work done for this relay, 0 where traffic is thin; _bears allows one attempt at a time whatever the budget; _place turns all relays to the first cold servers at an alarm.

What does not fit goes to warm servers, waits, or is refused. No level or token is kept that could pile up. A start in the future counts from when it is listed; a server that left and is back with a lower start is cold; infinite settings are errors.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -8,6 +8,7 @@
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 from typing import Any
 
 from loftroute.decision import interface as i
@@ -47,8 +48,8 @@
     def number(self, key: str, default: float | None = None) -> float:
         value = self._raw.get(key)
         value = default if value is None else value
-        if isinstance(value, bool) or not isinstance(value, int | float) or value != value:
-            raise self._wrong(key, "a number")
+        if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+            raise self._wrong(key, "a finite number")
         return float(value)
 
     def whole(self, key: str, default: int | None = None) -> int:
@@ -181,7 +182,7 @@
         ask_within=rules.whole("ask_within", 0),
         drain_grace=rules.whole("drain_grace", 0),
         cold=rules.whole("cold", 0),
-        cold_share=rules.number("start_capacity", 0.0) or 1.0,
+        cold_share=max(rules.number("start_capacity", 0.0), 0.0) or 1.0,
         fall=rules.whole("fall", 0),
         fall_multiple=rules.number("fall_multiple", 0.0) or 1.0,
         max_attempts=limits.whole("max_attempts", 0) or 1,
--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -229,6 +229,11 @@
     build: int
     reply: bool
 
+    def progress(self) -> tuple[int, int, int]:
+        """Grows with each state that the platform can reach from this one: an older one was overtaken."""
+        order = (Phase.TRIAL, Phase.RELEASED, Phase.GOING_BACK, Phase.WITHDRAWN)
+        return self.build, order.index(self.phase), 0 if self.phase else self.stage
+
 
 @dataclass(slots=True, unsafe_hash=True)
 class Tally:
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -14,7 +14,6 @@
 from loftroute.decision.state import Attempt, Ballot, Memory, Request, Seen, Server, WindowSum
 
 MS, SECOND = 1_000_000, 1_000_000_000
-# the release judge
 PREFIX = 64  # latest earlier-build outcomes that a stream starts behind
 SCAN_FROM, ALPHA = 8, 0.05  # values before a stream is scanned; chance of a false alarm it is set for
 LONGEST = 8192  # the longest window, so that a stream takes no more memory however long it lasts
@@ -28,30 +27,25 @@
 # Learnt pace (time for the work): steps, the zone's weight in answers, left each tick, out of favour beyond.
 PACE_STEP, FAIL_STEP, ZONE_TRUST, FADE, SLOW = 0.1, 0.15, 3.0, 0.98, 2.5
 CROSS_ZONE = 1.15  # how much worse a server of another zone looks, where crossing has a price
-TRY_SHARE = 0.45  # share of the time to the aim that a repeatable first attempt may take
-TRY_PACE = 4.0  # ... or this many times what the server is expected to need
+TRY_SHARE, TRY_PACE = 0.45, 4.0  # a first attempt's share of the time to the aim, or times what is expected
 RETRY_EARN, RETRY_MAX, EJECT_FOR, EJECT_MAX = 0.2, 20.0, SECOND, 8 * SECOND
 FAILED = 12.0  # an error, a full server or no connection counts as an answer so many times as slow
 SILENT, SILENT_PACE = 700 * MS, 6.0  # not heard for so long, and for so many times what is expected
-COLD_PART = 0.8  # share of the cold budget that is used, for uneven halls and rough hints
+COLD_PART, MEASURE_STEP = 0.8, 1 / 16  # share of the cold budget that is used; a tick's weight in throughput
 CALM_OVER, LONG = 60 * SECOND, 10 * SECOND  # how slowly the calm level rises; longer than most crowds
 CROWD, CROWD_LESSER, ANSWERS, MANY = 0.5, 0.3, 16, 500  # share of the time to the aim; answers a second
 FAULTY, LOSSY, EVER = 0.15, 0.1, 1.5  # failures of a server, of all; slower than this is slower than ever
 EASY, MOST_TRIAL = 0.2, 0.85  # of the aim, waiting beyond which blames no build; of the traffic, on trial
-DONE_OVER, LINKED = 2 * SECOND, 10 * SECOND  # finished work is summed over; a connection stays open
+DONE_OVER, PLACED_OVER = 2 * SECOND, 8 * SECOND  # finished work and requests are summed over
+LINKED = 10 * SECOND  # a connection stays open
 SWEEP, HOUSEKEEPING, GIVE_UP_BEFORE, STALL = 20 * MS, 250 * MS, 30 * MS, 100 * MS
 
 JUDGED, NEVER_RAN = (Phase.TRIAL, Phase.RELEASED), (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-COURSE = (*JUDGED, Phase.GOING_BACK, Phase.WITHDRAWN)
 HARD, RARE = (Outcome.ERROR, Outcome.RESET), {"errors": 1, "resets": 2}  # tuples: compared by identity
 BAD, REFUSED = (*HARD, Outcome.TIMEOUT), (*HARD, Outcome.FULL, Outcome.CONNECT_FAILED)
 SWEEP_TOKEN, TICK_TOKEN, WATCH_TOKEN = 1, 2, 3
 
 
-def stand(news: i.ReleaseNews) -> tuple[int, int, int]:  # builds, and the states of each, only go forward
-    return news.build, COURSE.index(news.phase), 0 if news.phase else news.stage
-
-
 def ran(request: Request) -> Attempt | None:  # the first attempt that may have run, or may yet
     return next((a for a in request.attempts if a.outcome not in NEVER_RAN), None)
 
@@ -98,11 +92,8 @@
         bound = nats * ((self.beside if beside else self.alone) * self.sigma) ** 2
         for j in range((t - self.last).bit_length(), min(t, 2 * LONGEST).bit_length() - (not self.rare)):
             k = sums[-1] - sums[-1 - (w := 1 << j)]  # in the window, above 0
-            stat = (
-                odd(k, self.rate * w)
-                if self.rare
-                else (t / ((t - w) * w) * max(k - w / t * sums[-1], 0.0) ** 2)
-            )  # above 0: it fails more
+            excess = max(k - w / t * sums[-1], 0.0)  # above 0: it fails more
+            stat = odd(k, self.rate * w) if self.rare else t / ((t - w) * w) * excess**2
             if stat > bound / 4:
                 self.half = True
                 self.alarm |= stat > bound and self._stands_out(k, w, look, bound)
@@ -112,11 +103,8 @@
         n = min(len(peers), max(w, PEERLESS))  # the latest, as many as the window, so that a jolt meets both
         failing = [server for at, server in self.bad if at > self.length - max(w, 2 * PREFIX)]
         usual, spread = sum(peers[-n:]) / max(n, 1), len(set(failing)) >= need and len(failing) >= 3
-        apart = (
-            odd(k, (usual * n + 0.5) / (n + 1) * w)
-            if self.rare
-            else w * n / (w + n) * (k / w - usual) ** 2 * (k / w > usual * (1 + (self.kind == "slow")))
-        )  # long windows see all
+        excess = (k / w - usual) ** 2 * (k / w > usual * (1 + (self.kind == "slow")))  # long windows see all
+        apart = odd(k, (usual * n + 0.5) / (n + 1) * w) if self.rare else w * n / (w + n) * excess
         return spread and (n < PEERLESS or apart > bound / 4)
 
 
@@ -132,20 +120,14 @@
         self.patience = [0.0 for _ in settings.classes]  # time left of most requests on arrival
         self.stay = self.calm = sum(self.usual[:1])
         self.answered, self.ghosts = WindowSum(SECOND), WindowSum(2 * SECOND)
+        self.placed = WindowSum(PLACED_OVER)  # requests and further attempts that were to be sent, each once
         self.tenants = [WindowSum(2 * SECOND) for _ in settings.quotas]
         self.nays = max(self.rel.nays, 1) if self.rel.control is i.Control.SHARE else 1  # send a build back
         self.scans = self._scans([])
         self._split()
-        self.on = {
-            i.Started: self._start,
-            i.ServerList: self._list,
-            i.RequestArrived: self._arrive,
-            i.AttemptEnded: self._ended,
-            i.ClientGone: self.forget,
-            i.TimerFired: self._timer,
-            i.ReleaseNews: self._release,
-            i.AnswerDisputed: self._disputed,
-        }
+        self.on = {i.Started: self._start, i.TimerFired: self._timer, i.ServerList: self._list}
+        self.on |= {i.RequestArrived: self._arrive, i.AttemptEnded: self._ended, i.ClientGone: self.forget}
+        self.on |= {i.ReleaseNews: self._release, i.AnswerDisputed: self._disputed}
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         if now > self.now:  # an own tick long overdue: this instance stood still, and finds all at once
@@ -171,6 +153,7 @@
             if not self.stall:  # an own stall is no silence of a server
                 self._silence()
             self._refresh()
+            self._measure()
             self._vote()
         elif event.token == WATCH_TOKEN:
             self._do(i.Watch(True))
@@ -204,8 +187,6 @@
         self.builds = sorted({s.entry.build for s in self.ready})
         for server in self.ready:
             server.warmth = self._warmth(server)
-        done = [s.done.total(self.now) / DONE_OVER / s.entry.weight for s in self.ready if s.warmth >= 1.0]
-        self.usually = sorted(done)[len(done) // 2] if done else 0.0  # work a second of a warm one of size 1
         self._favour()
         self._split()
         (old, _), (new, _), _ = self.sides
@@ -219,7 +200,7 @@
         self.sides = [(side, self._weigh(side)) for side in (*sides, self.ready)]
 
     def _weigh(self, servers: list[Server]) -> list[float]:
-        return list(accumulate(s.entry.weight * s.warmth * s.favour for s in servers))
+        return list(accumulate(s.routing_weight() for s in servers))
 
     # ---- the rules that bound where a request may go
 
@@ -241,35 +222,64 @@
         age = min(max(self.now - server.started, 0) / max(self.cfg.cold, 1), 1.0) if server.started else 1.0
         return self.cfg.cold_share + (1 - self.cfg.cold_share) * age
 
-    def _bears(self, server: Server, work: float) -> bool:
-        """Rule 4 as this instance's part of the budget: what warm servers really finish for it, times the
-        multiple and the share of capacity that a cold one has. An overload does not raise what is done."""
-        budget = COLD_PART * self.cfg.fall_multiple * server.warmth * self.usually * server.entry.weight
-        return (
-            server.warmth >= 1.0
-            or (sent := server.sent.total(self.now)) + work <= (budget * self.cfg.fall)
-            or (not server.out and not sent)
-        )
+    def _measure(self) -> None:
+        """The work a second that a warm server of weight 1 finishes for this instance: a mean, since in thin
+        traffic most finish none. It never exceeds capacity, and the parts of all instances add up."""
+        serving = [s for s in self.ready if self._serves(s) and not self._avoided(s)]
+        warm = [s for s in serving if s.warmth >= 1.0]
+        measured = warm or serving  # what cold ones finish, for the capacity that they have at the least
+        size = sum(s.warmth * s.entry.weight for s in measured)
+        span = max(min(self.now - self.born, DONE_OVER), HOUSEKEEPING)
+        found = sum(s.done.total(self.now) for s in measured) / span / size if size > 0 else 0.0
+        step = MEASURE_STEP if self.now - self.born > DONE_OVER else 1.0
+        if warm or found > self.throughput:  # with no warm server left the last figure stays
+            self.throughput += step * (found - self.throughput)
+
+    def _room(self, server: Server) -> float:
+        """Rule 4 as this instance's part of the budget: the work that it may still send now to a cold server.
+        Before anything is known a server is taken for one core, which all instances share."""
+        part = max(COLD_PART * self.throughput, 1.0 / self.cfg.instances)
+        capacity = part * server.warmth * server.entry.weight
+        return self.cfg.fall_multiple * capacity * self.cfg.fall - server.sent.total(self.now)
+
+    def _avoided(self, server: Server) -> bool:
+        """Of a build that is voted back, or that may have no attempt at all."""
+        build = server.entry.build
+        return (self.alarm and build == self.news.build) or (build in self.trials and not self._cap(build))
+
+    def _limits(self, servers: list[Server], request: Request, odds: float) -> dict[int, float]:
+        """The chance of each cold server, by its place, whose part of the budget has no room for the request:
+        so all instances together send the budget in the mean, at every moment, whichever way they come there.
+        A chance stands for the time since the last such draw; `odds`: how often requests draw among these."""
+        cold = [n for n, server in enumerate(servers) if server.warmth < 1.0]
+        if not cold:
+            return {}
+        if request.id in self.held:
+            span, self.cold_draw_at = self.now - self.cold_draw_at, self.now
+        else:  # the mean time between requests; where there is no other way those that are held go first
+            apart = min(self.now - self.born, PLACED_OVER) / max(self.placed.total(self.now), 1.0)
+            span = 0 if self.held and len(cold) == len(servers) else apart
+        pace, rest, limits = span / odds / max(self.cfg.fall, 1), 1.0, {}
+        room = {n: max(self._room(servers[n]) / max(request.work, 1.0), 0.0) for n in cold}
+        chance = {n: pace * room[n] for n in cold if room[n] < 1.0}
+        total = sum(weights := [s.routing_weight() for s in servers])
+        for n in sorted(chance, key=lambda n: chance[n] / max(weights[n], 1e-9)):
+            if chance[n] * total < weights[n] * rest:  # else it is drawn less often by itself
+                limits[n], total, rest = chance[n], total - weights[n], rest - chance[n]
+        return limits
 
     def _allowed(self, request: Request) -> list[Server]:
         """The servers at which the rules allow an attempt of this request now."""
         first = ran(request)
         least = self.forward.get(request.key, 0) if self.news and self.news.phase in JUDGED else 0
-        builds = [
-            b
-            for b in self.builds  # keys only go forward, until the build goes back
-            if b >= least and (b not in self.trials or self._exposed(b, request.cls))
-        ]
-        found = [s for s in self.ready if s.entry.build in builds and self._bears(s, request.work)]
-        if first is None or request.rule.effect is not Effect.KEYED:
+        builds = [b for b in self.builds if b >= least]  # keys only go forward, until the build goes back
+        builds = [b for b in builds if b not in self.trials or self._exposed(b, request.cls)]
+        found = [s for s in self.ready if s.entry.build in builds]
+        if first is None or request.rule.effect is not Effect.KEYED or request.rule.group is Group.ALL:
             return found
-        group, entry = request.rule.group, first.entry
-        return [
-            s
-            for s in found
-            if group is Group.ALL
-            or (s.entry.zone == entry.zone if group is Group.ZONE else s.entry.cell == entry.cell)
-        ]
+        if request.rule.group is Group.ZONE:
+            return [s for s in found if s.entry.zone == first.entry.zone]
+        return [s for s in found if s.entry.cell == first.entry.cell]
 
     # ---- routing
 
@@ -317,12 +327,8 @@
         self.easy_at = self.now if self.wait < EASY * request.rule.aim else self.easy_at
         limit = (CROWD_LESSER if lesser else CROWD) * (request.aim_at - self.now)
         lossy = self.noise > LOSSY and self.clean < EVER * self.tempo  # what is lost waits for nothing
-        return (
-            self.wait > limit
-            and not lossy
-            and out * self.cfg.instances > len(self.alive)
-            and (self.now - self.born > 2 * SECOND)
-        )
+        settled = out * self.cfg.instances > len(self.alive) and self.now - self.born > 2 * SECOND
+        return self.wait > limit and not lossy and settled
 
     def _heaped(self) -> bool:
         return 0 < self.awake > self.now - SECOND // 2  # came at once: no steady flow, no server's lateness
@@ -340,6 +346,17 @@
         for server in self.ready:
             server.favour = min(1.0, SLOW * self.pace / max(server.expect, 1e-9)) ** 4
 
+    def _select(self, servers: list[Server], request: Request, odds: float) -> Server | None:
+        """A cold server by its limited chance, else one of the others, else none."""
+        limits = self._limits(servers, request, odds)
+        drawn = self.random.random() if limits else 0.0
+        for place, chance in limits.items():
+            drawn -= chance
+            if drawn < 0.0:
+                return servers[place]
+        others = [s for n, s in enumerate(servers) if n not in limits] if limits else servers
+        return self._choose(others, request)
+
     def _choose(self, servers: list[Server], request: Request, sums: list[float] = ()) -> Server | None:
         """Two random choices, by size and warmth; the better by outstanding work over learnt speed. With the
         weights of a whole side, what does not fit is drawn again; None where too much of it does not."""
@@ -349,7 +366,7 @@
             return at * self.far if s.entry.zone != self.cfg.zone else at
 
         found, last, weights = [], len(servers) - 1, sums or self._weigh(servers)
-        for _ in range(8 if sums else 2):
+        for _ in range(8 if sums else 2 * bool(servers)):
             server = servers[bisect(weights, self.random.random() * weights[-1], 0, last)]
             if not sums or self._fits(server, request):
                 found.append(server)
@@ -361,12 +378,9 @@
 
     def _fits(self, s: Server, request: Request) -> bool:
         """What _allowed and _place ask of a list, for one server and a first attempt."""
-        return (
-            self._serves(s)
-            and (s.entry.build not in self.trials or self._exposed(s.entry.build, request.cls))
-            and not (self.alarm and s.entry.build == self.news.build)
-            and self._bears(s, request.work)
-        )
+        trial, has_room = s.entry.build in self.trials, s.warmth >= 1.0 or self._room(s) >= request.work
+        open_to = not self._avoided(s) and (not trial or self._exposed(s.entry.build, request.cls))
+        return open_to and has_room and self._serves(s)
 
     def _known_until(self, request: Request) -> float:
         """When units begin to forget an idempotency key, counted from the first attempt that may have run."""
@@ -377,6 +391,8 @@
         ends = min(request.deadline - self.margin[request.cls], self._known_until(request))
         if self.now >= ends or len(request.attempts) >= self.cfg.max_attempts:
             return self._give_up(request)
+        if request.id not in self.held:
+            self.placed.add(self.now, 1.0)
         on, crowd = self.random.random() < self.share, self.wait > EASY * request.rule.aim
         # Where answers are many a second, a look at the whole fleet for each request would cost too much.
         if not request.attempts and self.answered.total(self.now) >= MANY and request.key not in self.forward:
@@ -385,16 +401,20 @@
                 return self._send(request, server)
         tried, allowed = {a.entry.server for a in request.attempts}, self._allowed(request)
         good = [s for s in allowed if self._serves(s)] or allowed
-        # A build voted back is kept away from while others can serve.
-        good = [s for s in good if not (self.alarm and s.entry.build == self.news.build)] or good
         good = [s for s in good if s.entry.server not in tried] or good
         if any(a.outcome is Outcome.CONNECT_FAILED for a in request.attempts):  # where one is surely open
             good = [s for s in good if s.heard > self.now - LINKED] or good
-        if good:
-            side = [] if crowd else [s for s in good if (s.entry.build in self.trials) == on]
-            return self._send(request, self._choose(side or good, request))
+        # A build voted back is kept away from while others can serve, not while they are cold and few.
+        kept = [s for s in good if not self._avoided(s)] or good
+        side = [s for s in kept if (s.entry.build in self.trials) == on]
+        sides = not crowd and 0 < len(side) < len(kept)
+        drawn, odds = (side, self.share if on else 1 - self.share) if sides else (kept, 1.0)
+        warm = [s for s in kept if s.warmth >= 1.0] or [s for s in good if s.warmth >= 1.0]
+        if server := self._select(drawn, request, odds) or self._choose(warm, request):
+            return self._send(request, server)
         if self.now >= request.aim_at - self.margin[request.cls]:
             return self._give_up(request)
+        self.cold_draw_at = self.cold_draw_at if self.held else self.now
         self.held[request.id] = None
         self._sweep()
 
@@ -467,13 +487,9 @@
                 self._judge(attempt, 1, 0, inf)
             server.heard, server.doubts = self.now, 0
         ratio = min(took / max(attempt.work, 1.0), 30.0)
-        if (
-            ghost := outcome is Outcome.TIMEOUT
-            and server.favour > 0.5
-            and (  # else lost, not waiting
-                self.now - max(server.heard, attempt.sent) < SILENT
-            )
-        ):
+        lost = self.now - max(server.heard, attempt.sent) >= SILENT  # and not waiting
+        ghost = outcome is Outcome.TIMEOUT and server.favour > 0.5 and not lost
+        if ghost:
             self.ghosts.add(self.now, 1.0)
         if request and (outcome is Outcome.OK or ghost) and self.answered.total(self.now) < ANSWERS:
             self.stay += 0.1 * (min(took, 2 * request.rule.aim) - self.stay)
@@ -511,12 +527,9 @@
         builds are judged together, that is an outcome: who meets a server once does not hear it again."""
         for server in self.servers.values():
             oldest = next(iter(server.out.values()), None)
-            if (
-                server.listed
-                and oldest
-                and not server.ejected_until
-                and server.quiet(self.now) > max(SILENT, SILENT_PACE * self.pace * oldest.work)
-            ):
+            if not (server.listed and oldest) or server.ejected_until:
+                continue
+            if server.quiet(self.now) > max(SILENT, SILENT_PACE * self.pace * oldest.work):
                 if self.nays > 1 and not oldest.judged:
                     self._judge(oldest, 1, 0, (self.now - oldest.sent) / max(oldest.work, 1.0))
                     oldest.judged = True
@@ -548,10 +561,8 @@
             many = sum(s.entry.build == build and s.warmth >= 1.0 for s in self.ready)
             many = min(many, scan.seen)  # no more of them can have been met
             faulty = any(s.fail_rate > FAULTY for s in self.ready if s.entry.build < build)
-            return (
-                max(3, 1 + many // 2) if faulty else min(many, 2 + many // 6),
-                [scan.read(o) for o in earlier if o[0] > since and not long],
-            )
+            need = max(3, 1 + many // 2) if faulty else min(many, 2 + many // 6)
+            return need, [scan.read(o) for o in earlier if o[0] > since and not long]
 
         for scan in self.scans:
             # Being cold or crowded explains no error; slowness is held against peers in the same crowd.
@@ -570,7 +581,9 @@
         if news.reply and self.ballot:
             self.ballot.answered(news.status is Outcome.OK, self.rel.vote_life)
         old = self.news
-        if news.status is not Outcome.OK or (news.reply and old and stand(news) < stand(old)):  # overtaken
+        if news.status is not Outcome.OK or (
+            news.reply and old and news.progress() < old.progress()
+        ):  # overtaken
             return
         self.news = news
         self._split()
@@ -620,9 +633,8 @@
             return
         self.decided = self.decided or self.now
         same = stands and (ballot.stage, ballot.build, ballot.verdict) == (news.stage, news.build, wanted)
-        if (same and ballot.until - self.now > RENEW_BEFORE * self.rel.vote_life) or (
-            self.now - self.drawn < SECOND
-        ):
+        lasts = same and ballot.until - self.now > RENEW_BEFORE * self.rel.vote_life
+        if lasts or self.now - self.drawn < SECOND:
             return
         self.drawn, calls = self.now, self.rel.calls_per_s
         others = calls * min(self.now - self.decided, self.rel.vote_life) / SECOND  # as many stand by now
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -16,6 +16,8 @@
     ServerState,
 )
 
+NUMBERS_KEPT = 4096  # servers that have left whose last starts are remembered
+
 Seen = tuple[int, int, int, float]  # when, 1 = bad, 1 = error or 2 = reset, time taken for its work
 
 
@@ -104,6 +106,10 @@
     ejections: int = 0
     doubts: int = 0
 
+    def routing_weight(self) -> float:
+        """How often it is drawn beside others: by size, by present capacity, and seldom while far slower."""
+        return self.entry.weight * self.warmth * self.favour
+
     def quiet(self, now: int) -> int:
         """How long attempts have been out without a word."""
         oldest = next(iter(self.out.values()), None)
@@ -135,13 +141,15 @@
     born: int = 0
     actions: list[Action] = field(default_factory=list)
     servers: dict[int, Server] = field(default_factory=dict)
+    left_starts: dict[int, int] = field(default_factory=dict)  # last starts of servers that are forgotten
     alive: list[Server] = field(default_factory=list)
     ready: list[Server] = field(default_factory=list)
     builds: list[int] = field(default_factory=list)
     trials: list[int] = field(default_factory=list)
     sides: list[tuple[list[Server], list[float]]] = field(default_factory=list)
     outs: list[dict[tuple[str, int], Attempt]] = field(default_factory=list)
-    usually: float = 0.0
+    throughput: float = 0.0  # work a second that a warm server of weight 1 finishes for this instance
+    cold_draw_at: int = 0  # when a held request last drew for a cold server
     lost: int = 0
     age: float = 0.0
     share: float = 0.0
@@ -193,25 +201,41 @@
 
     def apply(self, event: ServerList, span: int, done_span: int) -> None:
         """Bring the list up to date; work sent and done is summed over these spans."""
+        left = {number for number, server in self.servers.items() if not server.listed}
         for server in self.servers.values():
             server.listed &= event.kind is ListKind.DELTA
         for entry in event.entries:
             known = self.servers.get(entry.server)
-            if known is None or entry.build != known.entry.build or entry.started > known.entry.started:
-                fresh = Server(entry, WindowSum(span), WindowSum(done_span), Pace(), self.pace, entry.started)
+            started = self._restarted(known, entry, entry.server in left)
+            if started is not None:
+                fresh = Server(entry, WindowSum(span), WindowSum(done_span), Pace(), self.pace, started)
                 if known:
                     fresh.out, fresh.load, fresh.sent = known.out, known.load, known.sent
                 self.servers[entry.server] = known = fresh
             known.entry, known.listed = entry, entry.state is not ServerState.GONE
         self._trim()
 
+    def _restarted(self, known: Server | None, entry: ServerEntry, left: bool) -> int | None:
+        """When the process of an entry started, if it is another one than the process that is known.
+
+        No start lies in the future, else the server stayed cold until then. One that left and is back with a
+        lower start has started anew by a clock that was set back; where it stayed, the list lags behind.
+        """
+        last = known.entry.started if known else self.left_starts.pop(entry.server, 0)
+        if (left or known is None) and entry.started < last:
+            return self.now
+        if known is None or entry.build != known.entry.build or entry.started > last:
+            return min(entry.started, self.now)
+        return None
+
     def _trim(self) -> None:
         """What no decision can turn on is forgotten, however many servers, builds and keys come and go."""
-        self.servers = {
-            number: server
-            for number, server in self.servers.items()
-            if server.listed or server.out or server.sent.total(self.now)
-        }
+        for number, server in list(self.servers.items()):
+            if not (server.listed or server.out or server.sent.total(self.now)):
+                del self.servers[number]
+                self.left_starts[number] = server.entry.started
+        while len(self.left_starts) > NUMBERS_KEPT:
+            del self.left_starts[next(iter(self.left_starts))]
         builds = {server.entry.build for server in self.servers.values()}
         for build in sorted(self.outcomes.keys() - builds)[:-2]:  # the last that left may be the earlier one
             del self.outcomes[build]
