Tests: no cold server falls over under the sum of what all relays send

Seven events with 3 to 230 relays at 0.3, 0.6 and 0.9 of what the warm servers can do: no cold server gets more than it bears, every request of the play has exactly one final answer, and where only cold servers are left (a released build taken back, all restarted) these get at least a fifth of what the settings allow, or half of what comes where that is less. While only the first servers of a build that is back are known, the same holds for these alone; the play tells it apart.

--- a/loftroute/lab/cold_servers.py
+++ b/loftroute/lab/cold_servers.py
@@ -15,10 +15,11 @@
 
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from itertools import accumulate
 from math import sqrt
+from typing import Any
 
 import click
 
@@ -39,6 +40,7 @@
 
 WARM_UP = 2500 * MS  # relays know by then what the warm servers finish
 AFTER = 3 * SECOND  # played on after the last cold server was listed
+ANSWERS_LATE = 200 * MS  # what is still open so long after its deadline counts as open for good
 LISTED_AFTER = LATE_NEWS[1]  # the last relay has the list so long after it was told
 USED_OVER = 2 * SECOND
 RESTART_TAKES = 1500 * MS  # between a server's stop and its next start
@@ -72,6 +74,14 @@
         return self.received / self.bound
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What was sent and offered over a span, as shares of what some cold servers may have in it."""
+
+    sent: float
+    offered: float
+
+
 @dataclass(frozen=True, slots=True)
 class Result:
     """One play. Shares of requests are of those that came after the event and before the traffic's end."""
@@ -81,13 +91,15 @@
     load: float
     seed: int
     servers: tuple[ServerLoad, ...]  # each cold server
-    used: float  # work sent to cold servers over what they may have, in the measured span
-    demanded: float  # work offered to the whole fleet over the same
+    usage: Usage  # of all cold servers, over the two seconds from when all relays know them
+    first: (
+        Usage | None
+    )  # of the first servers, while relays know no others; None where there are no first ones
     served: float
     refused: float
     failed: float
-    open: float  # without an answer two deadlines after the traffic's end
-    repeated: int  # requests of the whole play with more than one final answer
+    open: float  # without an answer when all deadlines have passed
+    unsettled: int  # requests of the whole play that have no final answer, or several
 
     @property
     def worst(self) -> ServerLoad:
@@ -123,7 +135,7 @@
 
 def warmth(settings: i.Settings, started: int, now: int) -> float:
     """The share of its capacity that a server is taken to have."""
-    age = min(max((now - started) / settings.cold, 0.0), 1.0)
+    age = min(max((now - started) / max(settings.cold, 1), 0.0), 1.0)
     return settings.cold_share + (1.0 - settings.cold_share) * age
 
 
@@ -173,13 +185,21 @@
 class Play:
     """A fleet in steady traffic until the event, what happens then, and what is measured after it."""
 
-    def __init__(self, instances: int, load: float, seed: int, weights: tuple[float, ...] = (1.0,)) -> None:
-        units = max(LEAST_UNITS, instances // INSTANCES_A_UNIT)
+    def __init__(
+        self,
+        instances: int,
+        load: float,
+        seed: int,
+        weights: tuple[float, ...] = (1.0,),
+        units: int = 0,
+        **changes: Any,
+    ) -> None:
+        units = units or max(LEAST_UNITS, instances // INSTANCES_A_UNIT)
         speeds = [weights[n % len(weights)] for n in range(units)]
         self.rate = load * CORES * sum(speeds) * SECOND / MEAN_WORK  # requests a second
         services = [{**service, "aim": AIM, "hard_limit": DEADLINE} for service in SETUP["services"]]
         self.fleet = Fleet(
-            instances, units, seed, self.rate, MEAN_WORK, HINT_NOISE, build=2, services=services
+            instances, units, seed, self.rate, MEAN_WORK, HINT_NOISE, build=2, services=services, **changes
         )
         self.fleet.weights = [1.0 if n % BUSY_EACH else BUSY_FACTOR for n in range(instances)]
         for unit, speed in zip(self.fleet.units.values(), speeds, strict=True):
@@ -192,22 +212,26 @@
         self.fleet.run(WARM_UP)
         self.before = len(self.fleet.finals)
 
-    def finish(self, scenario: str, known_after: int = LISTED_AFTER) -> Result:
+    def usage(self, servers: Iterable[Unit], span: Span, demanding: int) -> Usage:
+        """What servers were sent over a span, and what came for them, where all traffic of so long did."""
+        settings, units = self.fleet.settings, list(servers)
+        may_have = sum(allowed_work(settings, unit, span) for unit in units)
+        sent = sum(self.log.received(unit, span) for unit in units)
+        offered = self.rate * MEAN_WORK / SECOND * demanding
+        return Usage(sent / may_have, offered / may_have)
+
+    def finish(self, scenario: str, known_after: int = LISTED_AFTER, first: Usage | None = None) -> Result:
         """The last cold servers have just been told of, and all relays know them after so long: play on, end
         the traffic, and sum up."""
         listed = self.fleet.now + known_after
         self.fleet.run(AFTER)
         self.fleet.stop_traffic()
-        self.fleet.run(2 * DEADLINE)
-        return self._result(scenario, Span(listed, listed + USED_OVER))
+        self.fleet.run(DEADLINE + ANSWERS_LATE)
+        return self._result(scenario, Span(listed, listed + USED_OVER), first)
 
-    def _result(self, scenario: str, span: Span) -> Result:
+    def _result(self, scenario: str, span: Span, first: Usage | None) -> Result:
         settings, log = self.fleet.settings, self.log
         cold = [unit for unit in self.fleet.units.values() if unit.entry.started]
-        loads = tuple(fullest_window(settings, unit, log.of(unit), MEAN_WORK) for unit in cold)
-        may_have = sum(allowed_work(settings, unit, span) for unit in cold)
-        sent = sum(log.received(unit, span) for unit in cold)
-        offered = self.rate * MEAN_WORK / SECOND * (span.end - span.begin)
         ended = list(self.fleet.finals.values())
         after = ended[self.before :]
         ways = Counter(answers[0] if answers else "open" for answers in after)
@@ -216,14 +240,14 @@
             instances=self.instances,
             load=self.load,
             seed=self.seed,
-            servers=loads,
-            used=sent / may_have,
-            demanded=offered / may_have,
+            servers=tuple(fullest_window(settings, unit, log.of(unit), MEAN_WORK) for unit in cold),
+            usage=self.usage(cold, span, span.end - span.begin),
+            first=first,
             served=ways["served"] / len(after),
             refused=ways["refused"] / len(after),
             failed=ways["failed"] / len(after),
             open=ways["open"] / len(after),
-            repeated=sum(len(answers) > 1 for answers in ended),
+            unsettled=sum(len(answers) != 1 for answers in ended),
         )
 
 
@@ -235,12 +259,16 @@
     successors = list(fleet.units.values())
     fleet.platform.change(fleet.now, i.Phase.GOING_BACK, 0)
     fleet.tell_news()
+    told = fleet.now
     fleet.add(1, FIRST_LISTED)
+    first = list(fleet.units.values())[-FIRST_LISTED:]
     fleet.run(FIRST_AHEAD)
     fleet.add(1, len(successors) - FIRST_LISTED)
     fleet.run(SUCCESSORS_STAY - FIRST_AHEAD)
     fleet.drain(successors)
-    return play.finish("taken back")
+    # A relay knows no others for FIRST_AHEAD on average, somewhere within this span.
+    alone = Span(told + LATE_NEWS[0], told + FIRST_AHEAD + LATE_NEWS[1])
+    return play.finish("taken back", first=play.usage(first, alone, FIRST_AHEAD))
 
 
 def zone_back(instances: int, load: float, seed: int) -> Result:
@@ -351,13 +379,15 @@
             worst_ratio=found.worst.ratio,
             received=found.worst.received,
             bound=found.worst.bound,
-            used=found.used,
-            demanded=found.demanded,
+            used=found.usage.sent,
+            offered=found.usage.offered,
+            first_used=found.first.sent if found.first else "",
+            first_offered=found.first.offered if found.first else "",
             served=found.served,
             refused=found.refused,
             failed=found.failed,
             open=found.open,
-            repeated=found.repeated,
+            unsettled=found.unsettled,
         )
     click.echo(table.text())
 
--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -123,6 +123,10 @@
     ) -> None:
         raw = setup(instances=instances, **changes)
         self.settings, self.random = config.settings(raw), Random(seed)
+        self.cold, self.cold_share = (
+            self.settings.cold,
+            self.settings.cold_share,
+        )  # what the units really have
         self.now, self.rate, self.work = 10 * SECOND, rate, work
         self.platform = Platform(raw, build)
         self.units = {n: Unit(self._entry(n, build, 0)) for n in range(1, units + 1)}
@@ -340,8 +344,7 @@
             return self.now + MS, i.Outcome.CONNECT_FAILED
         if unit.refuses:
             return self.now + MS, i.Outcome.FULL
-        settings = self.settings
-        return unit.ready_at(self.now, work, settings.cold, settings.cold_share) + MS, i.Outcome.OK
+        return unit.ready_at(self.now, work, self.cold, self.cold_share) + MS, i.Outcome.OK
 
     def _ended(self, n: int, life: int, action: i.Send, number: int, outcome: i.Outcome, took: int) -> None:
         if self.lives[n] != life:
