Store: the engine becomes recovery, the write path and maintenance

store/engine.py held 1,166 lines: opening, writing, reading, followers, compaction and checkpoints over one object's fields. Each is now a module with one job, over a typed Log (segments, state, counters) that they share: steps, log, reserve, recovery, writer, followers, compacted, compaction, checkpoint, expiry; engine.py (about 250 lines) puts them together. Bare tuples and maps that crossed functions are records: Counters for the count map (callers say engine.counters.syncs), Group, PreparedFrame, Cursor, Move, OpenCheckpoint. engine.store is engine.store_id, settled is usage_exact. Format, order of writes and behaviour are as before.

--- a/loftroute/lab/killer.py
+++ b/loftroute/lab/killer.py
@@ -14,13 +14,13 @@
 from loftroute.recall.keeper import Answering, Keeper
 from loftroute.relay.module import Module
 from loftroute.relay.units import Attempt
-from loftroute.store.engine import Engine
+from loftroute.store.writer import LogWriter
 
 # Point: class, method, whether it is passed before the method or after it.
 POINTS: dict[str, tuple[type, str, bool]] = {
     "before the intent": (Keeper, "intend", True),
     "intent written, not safe": (Keeper, "intend", False),
-    "committed, nobody told": (Engine, "_group_safe", True),
+    "committed, nobody told": (LogWriter, "_group_durable", True),
     "intent safe": (Keeper, "_safe", True),
     "claim answered": (Keeper, "_told", True),
     "request sent": (Module, "go", False),
--- a/loftroute/lab/store_bench.py
+++ b/loftroute/lab/store_bench.py
@@ -21,9 +21,10 @@
 from loftroute.runtime.files import RealDirectory
 from loftroute.runtime.scheduler import Scheduler
 from loftroute.store.actor import Store
-from loftroute.store.engine import Engine, drive
+from loftroute.store.engine import Engine
 from loftroute.store.plan import Limits
 from loftroute.store.records import PUT, Op
+from loftroute.store.steps import drive
 
 BIG = Limits(total=8 << 30, reserve=0, checkpoint_keys=1 << 30, snapshot_keys=1 << 30)
 BUDGET = Budget()
@@ -60,13 +61,13 @@
             begun[1] = time.perf_counter()
             scheduler.stop()
 
-    syncs = store.engine.count["syncs"]
+    syncs = store.engine.counters.syncs
     begun[0] = time.perf_counter()
     for number in range(waiters):
         scheduler.spawn("waiter", lambda number=number: waiter(number))
     scheduler.run()
     took = begun[1] - begun[0]
-    syncs = store.engine.count["syncs"] - syncs
+    syncs = store.engine.counters.syncs - syncs
     store.close()
     return total / took, syncs
 
@@ -188,15 +189,15 @@
         if number > 40_000 and number % 100 == 0:
             live = engine.active.end + sum(s.live for s in engine.sealed)  # type: ignore[union-attr]
             worst = max(worst, (engine.used - limits.segment) / live)
-    count = engine.count
+    counters = engine.counters
     table.add(
         writes=total,
         keys=20_000,
         worst_space=worst,
-        compaction_writes=count["compacted_bytes"] / count["appended_bytes"],
-        checkpoint_writes=count["checkpoint_bytes"] / count["appended_bytes"],
-        compactions=count["compactions"],
-        checkpoints=count["checkpoints"],
+        compaction_writes=counters.compacted_bytes / counters.appended_bytes,
+        checkpoint_writes=counters.checkpoint_bytes / counters.appended_bytes,
+        compactions=counters.compactions,
+        checkpoints=counters.checkpoints,
         memory_mb=(resident() - memory) / (1 << 20),
     )
     engine.close()
--- a/loftroute/lab/store_trial.py
+++ b/loftroute/lab/store_trial.py
@@ -12,10 +12,12 @@
 from typing import Any
 
 from loftroute.lab.disk import Disk, DiskDirectory, PowerLost
-from loftroute.store.engine import Engine, Follower, Sync
+from loftroute.store.engine import Engine
+from loftroute.store.followers import Follower
 from loftroute.store.plan import Limits, Refused, Unsure
 from loftroute.store.records import DELETE, PUT, Op, StoreError
 from loftroute.store.state import CutOff, Snapshot
+from loftroute.store.steps import Sync
 
 SMALL = Limits(
     segment=1500,
@@ -242,7 +244,7 @@
             raise Broken(f"seed {self.seed}: a prefix is not scanned whole")
         there = sum(1 for _ in self.engine.places(bytes((self.space,))))
         counted = self.engine.state.usage.get(self.space, [0, 0])[0]
-        if counted < there or (self.engine.settled and counted > there):
+        if counted < there or (self.engine.usage_exact and counted > there):
             raise Broken(f"seed {self.seed}: {counted} keys are counted, {there} are there")
         if sum(s.live for s in self.engine.state.segments.values()) < 0 or any(
             not 0 <= s.live <= s.size for s in self.engine.state.segments.values()
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -50,9 +50,9 @@
 from loftroute.runtime.scheduler import MS, Scheduler, Task
 from loftroute.runtime.stream import Closed, Expired, Listener, Stream
 from loftroute.store.actor import Store
-from loftroute.store.engine import Done
 from loftroute.store.plan import Refused
 from loftroute.store.records import PUT, Op, StoreError
+from loftroute.store.writer import Done
 from loftroute.vrrp.envelope import Keys
 from loftroute.vrrp.keyring import Keyring
 
--- a/loftroute/pair/witness.py
+++ b/loftroute/pair/witness.py
@@ -14,9 +14,10 @@
 from loftroute.runtime.files import Directory
 from loftroute.runtime.scheduler import MS, Scheduler
 from loftroute.runtime.stream import Closed, Expired, Listener, Stream
-from loftroute.store.engine import Engine, drive
+from loftroute.store.engine import Engine
 from loftroute.store.plan import Limits
 from loftroute.store.records import PUT, Op, StoreError
+from loftroute.store.steps import drive
 from loftroute.vrrp.keyring import Keyring
 
 LIMITS = Limits(segment=64 << 10, total=4 << 20, reserve=64 << 10, checkpoint_keys=1 << 30)
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -22,9 +22,9 @@
 from loftroute.runtime.clock import stamp
 from loftroute.runtime.scheduler import MS, Scheduler, Timer
 from loftroute.store.actor import Store
-from loftroute.store.engine import Done
 from loftroute.store.plan import Refused
 from loftroute.store.records import PUT, Op, StoreError
+from loftroute.store.writer import Done
 
 SPACE = "recall"
 ELSEWHERE = 10_000  # ids open at the other relay that calls may wait for here
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -14,10 +14,13 @@
 from loftroute.runtime.files import Directory, RealDirectory
 from loftroute.runtime.scheduler import MS, Scheduler
 from loftroute.runtime.worker import Worker
-from loftroute.store.engine import Done, Engine, Steps, Sync, drive
+from loftroute.store.engine import Engine
 from loftroute.store.plan import Limits, ReadOnly
 from loftroute.store.records import PUT, Op
+from loftroute.store.recovery import STORE_ID_SIZE
+from loftroute.store.steps import Steps, Sync, drive
 from loftroute.store.time import resume
+from loftroute.store.writer import Done
 
 CLOCK = "clock"
 NOWHERE = 255
@@ -42,7 +45,8 @@
         self.scheduler, self._timeout = scheduler, sync_timeout
         self._lag = lag or (lambda: scheduler.lag)
         self.boot = boot_name()
-        self.engine = Engine(directory, limits, os.urandom(8))
+        self.engine = Engine(directory, limits, os.urandom(STORE_ID_SIZE))
+        self._writer = self.engine.writer
         self._clock_space = self.space(CLOCK)
         begun = stamp(self.boot)
         self._offset = resume(self._last_clock(), begun, self.engine.state.horizon) - scheduler.clock.now()
@@ -80,8 +84,8 @@
         return self.engine.space(name)
 
     def submit(self, ops: Sequence[Op], done: Done) -> None:
-        """As `Engine.submit`; the commit begins in this turn or when the one under way ends."""
-        self.engine.submit(ops, done)
+        """As `LogWriter.submit`; the commit begins in this turn or when the one under way ends."""
+        self._writer.submit(ops, done)
         self._wanted = True
         self.scheduler.wake(self._committer)
 
@@ -122,12 +126,12 @@
 
     def _commit(self) -> None:
         while not self.ended:
-            if self.engine.pending:
-                drive(self.engine.commit(self.now), partial(self._sync, self._commits))
+            if len(self._writer.pending):
+                drive(self._writer.commit(self.now), partial(self._sync, self._commits))
                 continue
             if self._wanted:  # all is written: say so behind it
                 self._wanted = False
-                drive(self.engine.commit(self.now), partial(self._sync, self._commits))
+                drive(self._writer.commit(self.now), partial(self._sync, self._commits))
                 continue
             self.scheduler.park()
 
--- /dev/null
+++ b/loftroute/store/checkpoint.py
@@ -0,0 +1,115 @@
+"""Checkpoints: where each key lies is written down, so that a restart need not read what came before.
+
+The file's format is that of `store/index.py`.
+"""
+
+import contextlib
+from collections.abc import Iterator
+
+from loftroute.runtime.files import File
+from loftroute.store.index import Reader, Summary, Writer
+from loftroute.store.log import Log, OpenCheckpoint
+from loftroute.store.records import TEMPORARY, Damaged, Location
+from loftroute.store.reserve import Reserve
+from loftroute.store.state import Layer, State
+from loftroute.store.steps import Steps, StepsWithResult, Sync
+
+KEYS_A_STEP = 128
+KEY_BYTES = 48  # what a step counts for one key
+
+
+class Checkpointer:
+    """Writes checkpoints, one at a time."""
+
+    def __init__(self, log: Log, reserve: Reserve) -> None:
+        self._log, self._reserve = log, reserve
+        self.running = False
+
+    def checkpoint(self, now: int) -> Steps:
+        """Write a checkpoint. `now` is store time in nanoseconds. Failures are counted, not raised."""
+        log, state = self._log, self._log.state
+        summary = self._summary(now)
+        self.running = True
+        state.freeze()
+        name = f"{summary.next_seq:020d}.idx"
+        file: File | None = None
+        try:
+            file = log.directory.create(name + TEMPORARY)
+            size = yield from self._write(file, summary)
+            if problem := (yield Sync(file.sync)):
+                raise problem
+            base = Reader(name, size, file.read, log.store_id, check=False)
+            log.directory.rename(file.name, name)
+            if problem := (yield Sync(log.directory.sync)):
+                raise problem
+            self._install(base, OpenCheckpoint(name, file))
+            log.counters.checkpoints += 1
+            log.counters.checkpoint_bytes += size
+        except (OSError, Damaged):
+            log.discard(name, file)
+        finally:
+            state.thaw()
+            self.running = False
+
+    def _summary(self, now: int) -> Summary:
+        state, active = self._log.state, self._log.writable
+        return Summary(
+            state.next_seq,
+            state.time(now),
+            (active.header.id, active.durable, active.durable_link),
+            {number: (one.size, one.live, one.deletions) for number, one in state.segments.items()},
+            {space: (keys, size) for space, (keys, size) in state.usage.items()},
+        )
+
+    def _write(self, file: File, summary: Summary) -> StepsWithResult[int]:
+        """Write all keys and the summary; the bytes that they take."""
+        writer, size = Writer(self._log.store_id), 0
+        for key, place in _merged(self._log.state, summary):
+            writer.add(key, place)
+            if writer.count % KEYS_A_STEP == 0:
+                size = self._append(file, size, writer.taken())
+                yield KEYS_A_STEP * KEY_BYTES
+        for _ in writer.filtering():
+            yield 0
+        return self._append(file, size, writer.finish(summary))
+
+    def _append(self, file: File, size: int, raw: bytes) -> int:
+        self._reserve.write(file, size, raw)
+        return size + len(raw)
+
+    def _install(self, base: Reader, made: OpenCheckpoint) -> None:
+        """The state stands on the new checkpoint; the old one goes."""
+        log, old = self._log, self._log.checkpoint
+        log.state.rebase(base)
+        log.checkpoint = made
+        if old is None:
+            return
+        old.file.close()
+        if old.name != made.name:
+            with contextlib.suppress(OSError):
+                log.directory.remove(old.name)
+
+
+def _merged(state: State, summary: Summary) -> Iterator[tuple[bytes, Location]]:
+    """The frozen layer over the old checkpoint, in order; the layers above may change. What the checkpoint
+    has in files that are gone is left out, and counts no more."""
+    frozen, base = state.frozen or Layer(), state.base
+    changed = iter([(key, frozen[key]) for key in frozen.after(b"")])
+    key, place = next(changed, (None, None))
+    for old_key, old_place in base.scan(b"") if base else ():
+        while key is not None and key < old_key:
+            if place:
+                yield key, place
+            key, place = next(changed, (None, None))
+        if key == old_key:
+            continue  # the newer place comes in its turn
+        if old_place.file in state.segments:
+            yield old_key, old_place
+        else:
+            state.settle(old_key, old_place)
+            keys, size = summary.usage[old_key[0]]
+            summary.usage[old_key[0]] = keys - 1, size - old_place.size
+    while key is not None:
+        if place:
+            yield key, place
+        key, place = next(changed, (None, None))
--- a/loftroute/store/inspect.py
+++ b/loftroute/store/inspect.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 from loftroute.runtime.files import Directory, RealDirectory
-from loftroute.store.engine import META, Engine, drive
+from loftroute.store.engine import META, Engine
 from loftroute.store.plan import Limits, OnDamage, Run
 from loftroute.store.records import STORE_FILE, Damaged, StoreError, pack_store, records
+from loftroute.store.steps import drive
 
 TRIES = 5  # to meet the folder between two of a running relay's compactions
 
@@ -127,7 +128,7 @@
     target = RealDirectory(to, create=True)
     if target.names():
         raise StoreError(f"{to}: not empty")
-    _write(target, STORE_FILE, pack_store(engine.store))
+    _write(target, STORE_FILE, pack_store(engine.store_id))
     size = 0
     for segment in engine.state.segments.values():
         raw = engine.files[segment.header.id].read(0, segment.size)
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -124,7 +124,7 @@
     scheduler = Scheduler(Clock(), lambda name, problem: None)
     store = Store(scheduler, RealDirectory(tmp_path / "s", create=True), BIG, BUDGET, SECOND)
     space, told = store.space("x"), []
-    before = store.engine.count["syncs"]
+    before = store.engine.counters.syncs
 
     def caller():
         for n in range(100):
@@ -136,6 +136,6 @@
 
     scheduler.spawn("caller", caller)
     scheduler.run()
-    assert told == [(n, None) for n in range(100)] and store.engine.count["syncs"] - before <= 3
+    assert told == [(n, None) for n in range(100)] and store.engine.counters.syncs - before <= 3
     assert store.get(space, b"99") == b"v"
     store.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,20 +1,23 @@
 """The store on a disk in memory: what is safe, what is found after a crash, and what is refused."""
 
+import ast
 import contextlib
 import errno
 import os
 import random
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+import loftroute.store
 from loftroute.lab.disk import Disk, DiskDirectory, PowerLost
 from loftroute.lab.store_trial import SMALL, Trial, trials
 from loftroute.runtime.files import RealDirectory
-from loftroute.store.engine import RESERVE, Engine, Sync, drive
+from loftroute.store.engine import Engine
 from loftroute.store.plan import (
     Busy,
     Full,
@@ -38,7 +41,10 @@
     Op,
     StoreError,
 )
+from loftroute.store.reserve import RESERVE_FILE
 from loftroute.store.state import CutOff
+from loftroute.store.steps import Sync, drive
+from loftroute.store.writer import LogWriter
 
 PLAIN = replace(SMALL, reserve=0)
 ID = b"\1" * 8
@@ -78,6 +84,44 @@
     return left
 
 
+# ---- the modules
+
+# From the bottom up: a module imports only what stands in a line above its own.
+LAYERS = [
+    ["records", "time", "steps"],
+    ["index", "state"],
+    ["plan"],
+    ["log", "reserve"],
+    ["recovery", "writer", "followers", "compacted", "checkpoint", "expiry"],
+    ["compaction"],
+    ["engine"],
+    ["actor", "inspect"],
+]
+STORE = Path(loftroute.store.__file__).parent
+LINES_LIMIT = 400  # of a file
+
+
+def imported_from_store(path):
+    nodes = [node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.ImportFrom)]
+    names = {node.module for node in nodes}
+    names |= {f"loftroute.store.{a.name}" for n in nodes if n.module == "loftroute.store" for a in n.names}
+    return {name.split(".")[2] for name in names if name.startswith("loftroute.store.")}
+
+
+def test_each_module_imports_only_modules_of_lower_layers():
+    listed = [name for layer in LAYERS for name in layer]
+    assert sorted(listed) == sorted(path.stem for path in STORE.glob("*.py") if path.stem != "__init__")
+    for number, layer in enumerate(LAYERS):
+        below = {name for lower in LAYERS[:number] for name in lower}
+        for name in layer:
+            assert imported_from_store(STORE / f"{name}.py") <= below, name
+
+
+def test_no_module_is_longer_than_a_reader_takes_in():
+    for path in STORE.glob("*.py"):
+        assert len(path.read_text().splitlines()) <= LINES_LIMIT, path.name
+
+
 # ---- seeded histories
 
 
@@ -92,15 +136,15 @@
     """The checker is no ornament: with the sync's place taken out it finds records that are lost."""
 
     def at_once(self, group, now):
-        active = self.active
-        raw, places, at, link = self._frames(active, group, now)
-        active.file.write(active.end, b"".join(raw))
-        active.end, active.link, active.durable = at, link, at
-        self.state.segments[active.header.id].size = at
-        self._group_safe(group, places)
+        active = self._log.active
+        frames = self._prepare(active, group, now)
+        active.file.write(active.end, b"".join(one.raw for one in frames))
+        active.end += sum(len(one.raw) for one in frames)
+        active.link, active.durable = frames[-1].crc, active.end
+        self._group_durable(active, group, frames)
         yield 0
 
-    monkeypatch.setattr(Engine, "_write", at_once)
+    monkeypatch.setattr(LogWriter, "_write", at_once)
     with pytest.raises((AssertionError, StoreError)):
         trials(range(40), faults=False)
 
@@ -318,7 +362,7 @@
 def test_a_full_disk_refuses_goes_on_reading_and_is_got_out_of_by_compaction():
     disk = Disk(random.Random(2))
     engine, space = start(disk, replace(SMALL, checkpoint_keys=1 << 30, reserve=6000))
-    assert RESERVE in disk.names
+    assert RESERVE_FILE in disk.names
     for n in range(160):
         put(engine, space, b"k%d" % (n % 8), b"v%d" % n + b"x" * 30)
     wanted = state(engine, space)
@@ -327,10 +371,10 @@
     assert state(engine, space) == wanted
     run = engine.compaction_due()
     drive(engine.compact(run, 0))
-    assert engine.count["compactions"] == 1 and RESERVE not in disk.names
+    assert engine.counters.compactions == 1 and RESERVE_FILE not in disk.names
     assert put(engine, space, b"more", b"y" * 100) is None
     engine.tend()
-    assert RESERVE in disk.names
+    assert RESERVE_FILE in disk.names
     assert state(start(disk.crash())[0], space) == {**wanted, b"more": b"y" * 100}
 
 
@@ -459,7 +503,7 @@
             live = engine.active.end + sum(s.live for s in engine.sealed)
             worst = max(worst, (engine.used - limits.segment) / live)
     assert worst <= 2.35, worst  # one segment's garbage may come before the next look
-    assert engine.count["compacted_bytes"] < 2.0 * engine.count["appended_bytes"]
+    assert engine.counters.compacted_bytes < 2.0 * engine.counters.appended_bytes
     assert not amplified(engine.sealed, engine.active.end, replace(limits, amplification=2.5))
 
 
@@ -590,7 +634,7 @@
     place = next(n for n, s in enumerate(engine.sealed) if s.deletions)
     assert place > 0
     drive(engine.compact(Run(place, place, "test"), 0))
-    assert engine.count["compactions"] == 1
+    assert engine.counters.compactions == 1
     again, space = start(disk.crash(), replace(PLAIN, checkpoint_keys=1 << 30))
     assert b"gone" not in state(again, space)
     drive(again.compact(Run(0, len(again.sealed) - 1, "test"), 0))
@@ -645,6 +689,6 @@
             if run := engine.compaction_due():
                 drive(engine.compact(run, n))
             counts.append(len(descriptors_below(tmp_path / "s")) - len(engine.files))
-    assert engine.count["checkpoints"] == 12 and counts[-1] == counts[1]
+    assert engine.counters.checkpoints == 12 and counts[-1] == counts[1]
     engine.close()
     assert descriptors_below(tmp_path / "s") == []
