--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,6 +7,7 @@
 
 ROOT = Path(__file__).parent.parent
 POLICY = ROOT / "loftroute" / "decision" / "policy.py"
+SUBSET_PLAN = ROOT / "loftroute" / "subset" / "plan.py"
 
 
 def test_the_policy_stays_within_its_size():
@@ -31,7 +32,8 @@
 
 
 def test_no_other_runtime_file_holds_a_tuned_value():
-    """Outside the policy, upper-case names hold words of the wire or its bounds, never figures of choice."""
+    """Outside the policy, upper-case names hold words of the wire or its bounds, never figures of choice. The
+    subset decides who is a member: its figures of choice stand in its plan, and in no other file of it."""
     known = {
         "LEDGERS",
         "BUILDS",
@@ -53,8 +55,8 @@
         "PROTOCOL_NUMBER",
         "INTERVAL_LIMIT",
     }
-    runtime = {"decision", "protocol", "runtime", "relay", "bench"}
+    runtime = {"decision", "protocol", "runtime", "relay", "bench", "subset"}
     for path in (ROOT / "loftroute").rglob("*.py"):
-        if path != POLICY and path.parent.name in runtime:
+        if path not in (POLICY, SUBSET_PLAN) and path.parent.name in runtime:
             found = set(re.findall(r"^([A-Z][A-Z_]+)\s*(?::[^=]+)?=\s*[-\d(]", path.read_text(), re.M))
             assert found <= known, path.name
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -283,6 +283,18 @@
                 "loftroute.lab",
             ),
         ),
+        (
+            "subset",
+            (
+                "loftroute.config",
+                "loftroute.protocol",
+                "loftroute.runtime",
+                "loftroute.relay",
+                "loftroute.lab",
+                "loftroute.decision.policy",
+                "loftroute.decision.state",
+            ),
+        ),
         ("settings", ("loftroute.runtime", "loftroute.relay", "loftroute.store", "loftroute.recall", "time")),
         (
             "store",
@@ -336,6 +348,14 @@
     "vrrp/tracking.py",
     "pair/fence.py",
     "pair/wire.py",
+    "subset/assignment.py",
+    "subset/blocks.py",
+    "subset/dealing.py",
+    "subset/hashing.py",
+    "subset/health.py",
+    "subset/plan.py",
+    "subset/pool.py",
+    "subset/registry.py",
 ]
 
 
