Subset bench: changes of members apart, a first list apart, medians of three turns

Few changes touch a subset, so their mean says little of those that do; a relay that has just started builds its indices, a list told again only compares.

--- a/loftroute/lab/subset_bench.py
+++ b/loftroute/lab/subset_bench.py
@@ -8,7 +8,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from random import Random
 from statistics import median
@@ -29,12 +29,14 @@
 
 @dataclass
 class Costs:
-    """Medians, but for the change: that is the mean, since few changes touch a subset."""
+    """Medians, but for the changes: those are means, since few changes touch a subset."""
 
     request_us: float
     tick_ms: float
-    change_ms: float
-    whole_ms: float
+    change_ms: float  # of any unit
+    member_change_ms: float  # of a unit that is a member when it changes first
+    first_ms: float  # a whole list, told to a relay that has just started
+    whole_ms: float  # ... told again
     memory_mb: float
     units_used: int
 
@@ -93,6 +95,16 @@
     return time.thread_time_ns() - begun
 
 
+def _changes(relay: Relay, units: list[int]) -> float:
+    """Mean milliseconds of a change: each unit drains, goes and comes back."""
+    took = 0
+    for unit in units:
+        for state in (i.ServerState.DRAINING, i.ServerState.GONE, i.ServerState.READY):
+            event = i.ServerList(i.ListKind.DELTA, 2, (_entry(unit, state),))
+            took += _took(lambda event=event: relay.listed(event))  # type: ignore[misc]
+    return took / MS / (3 * len(units))
+
+
 def measure(units: int, subset: bool, seconds: int) -> Costs:
     """The costs of one module with a list of so many units."""
     tracemalloc.start()
@@ -109,32 +121,38 @@
         requests.append(_took(relay.request))
         if number % (PER_S * HOUSEKEEPING // SECOND) == 0:
             ticks.append(_took(relay.tick))
-    changes = []
-    for _ in range(100):
-        unit = random.randrange(units)
-        for state in (i.ServerState.DRAINING, i.ServerState.GONE, i.ServerState.READY):
-            event = i.ServerList(i.ListKind.DELTA, 2, (_entry(unit, state),))
-            changes.append(_took(lambda event=event: relay.listed(event)))  # type: ignore[misc]
+    everywhere = [random.randrange(units) for _ in range(100)]
+    members = [random.choice(relay.balancer.ready).entry.server for _ in range(100)]
     return Costs(
         median(requests) / 1e3,
         median(ticks) / MS,
-        sum(changes) / len(changes) / MS,
-        median(wholes) / MS,
+        _changes(relay, everywhere),
+        _changes(relay, members),
+        wholes[0] / MS,
+        median(wholes[1:]) / MS,
         memory / (1 << 20),
         len(relay.balancer.ready),
     )
 
 
+def _middle(costs: list[Costs]) -> Costs:
+    """The median of each figure."""
+    return Costs(*(median(getattr(one, field.name) for one in costs) for field in fields(Costs)))  # type: ignore[arg-type]
+
+
 @click.command()
 @click.option("--out", type=click.Path())
 @click.option("--seconds", default=8, show_default=True, help="Simulated time at each size.")
-def main(out: str | None, seconds: int) -> None:
-    """Play each size alone and behind the subset."""
+@click.option("--turns", default=3, show_default=True, help="How often each is played; medians are shown.")
+def main(out: str | None, seconds: int, turns: int) -> None:
+    """Play each size alone and behind the subset, in turn."""
+    played = [(units, subset) for units in SIZES for subset in (False, True)]
+    costs = [{one: measure(*one, seconds) for one in played} for _ in range(turns)]
     table = Table(f"The module at {PER_S} requests a second, one of {RELAYS} relays")
     base: Costs | None = None
     for units in SIZES:
         for subset in (False, True):
-            found = measure(units, subset, seconds)
+            found = _middle([turn[units, subset] for turn in costs])
             base = base or found
             table.add(
                 units=units,
@@ -146,7 +164,9 @@
                 tick_ratio=found.tick_ms / base.tick_ms,
                 change_ms=found.change_ms,
                 change_ratio=found.change_ms / base.change_ms,
-                whole_list_ms=found.whole_ms,
+                member_change_ratio=found.member_change_ms / base.member_change_ms,
+                first_list_ms=found.first_ms,
+                list_again_ms=found.whole_ms,
                 memory_mb=found.memory_mb,
             )
     click.echo(table.text())
