--- a/loftroute/subset/health.py
+++ b/loftroute/subset/health.py
@@ -3,7 +3,7 @@
 from loftroute.decision.interface import Outcome
 from loftroute.subset.plan import Limits
 
-_FAILED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR)
+_FAILED = (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)  # an error is an answer: it is there
 _SAYS_NOTHING = (Outcome.CANCELLED, Outcome.MOOT)
 
 
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -307,10 +307,11 @@
     assert len(told.ready) <= 40 and pool.counters.widened <= 2
 
 
-def test_what_says_nothing_of_a_unit_widens_nothing():
+def test_what_is_no_silence_of_a_unit_widens_nothing():
+    """Errors and refusals are answers: clients whose requests all fail must not widen every relay."""
     fleet = small_fleet()
     pool, told = fleet.pools[3], fleet.told[3]
-    for outcome in (i.Outcome.CANCELLED, i.Outcome.MOOT, i.Outcome.FULL):
+    for outcome in (i.Outcome.CANCELLED, i.Outcome.MOOT, i.Outcome.FULL, i.Outcome.ERROR):
         for unit in sorted(told.ready) * 4:
             assert pool.ended(SECOND, unit, outcome) == []
     assert pool.ended(SECOND, 10**6, i.Outcome.TIMEOUT) == []
