--- a/loftroute/subset/pool.py
+++ b/loftroute/subset/pool.py
@@ -54,9 +54,7 @@
         self._watching: set[int] = set()  # the relays of the block whose units the module was told of
         self._stepped_at = 0  # when it was last widened or narrowed
         self._health = Health(self._limits)
-        self._owed = (
-            False  # the module was told that a call failed: it is told of the next, whatever it brings
-        )
+        self._owed = False  # the module was told that a call failed: it is told of the next, whatever comes
         self.counters = Counters()
 
     # ---- what can be read
