Lab: a scale run of hollow relays, with slopes, events and real relays beside them

`python -m loftroute.lab.scale` measures what a relay costs as units, services, tenants, relays, changes and requests grow, fits a line to each figure and says what the line leaves. Hollow relays run the real decision module and list reader in simulated time; stand-ins for discovery and the platform count messages and bytes. Six events of a large fleet are played by seed, with the five rules checked over all relays. Real relays on loopback sockets run beside them, so that the figures can be compared, as do a bare forwarder and relays with other times between turns.

A figure whose bare loops differ by more than 1.6 is marked void.

The tests assert growth as ratios. What grows with the units today is recorded as such, as are two faults found: drains are not kept while discovery and the platform are both away, and weights whose sum overflows send all requests to one unit.

numpy fits the lines, matplotlib draws the charts, msgspec checks the plan field by field.

--- /dev/null
+++ b/loftroute/lab/scale/charts.py
@@ -0,0 +1,47 @@
+"""Charts of a run's series, as one SVG file."""
+
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "scale"  # the same run gives the same file
+
+from matplotlib import pyplot  # noqa: E402
+from matplotlib.axes import Axes  # noqa: E402
+
+from loftroute.lab.scale.fits import Series  # noqa: E402
+
+COLUMNS = 3
+PANEL = (4.2, 3.0)  # inches
+
+
+def draw(series: list[Series], path: Path) -> None:
+    """One panel a figure: the measured points and the fitted line, both axes logarithmic where possible."""
+    shown = [one for one in series if len(one.points) > 1]
+    rows = -(-len(shown) // COLUMNS)
+    figure, axes = pyplot.subplots(
+        rows, COLUMNS, figsize=(PANEL[0] * COLUMNS, PANEL[1] * rows), squeeze=False
+    )
+    for place, one in zip(axes.flat, shown, strict=False):
+        _panel(place, one)
+    for place in list(axes.flat)[len(shown) :]:
+        place.axis("off")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    pyplot.close(figure)
+
+
+def _panel(axes: Axes, series: Series) -> None:
+    sizes = [point.size for point in series.points]
+    values = [point.value for point in series.points]
+    fit = series.fit()
+    axes.plot(sizes, values, "o", label="measured")
+    axes.plot(sizes, [fit.at(size) for size in sizes], "-", label=f"line, residual {fit.residual:.2f}")
+    axes.set_xscale("log")
+    if min(values) > 0 and min(fit.at(size) for size in sizes) > 0:
+        axes.set_yscale("log")
+    axes.set_title(series.name.replace("_", " ") + (" (void)" if series.void else ""), fontsize=9)
+    axes.set_xlabel(series.dimension, fontsize=8)
+    axes.set_ylabel(series.unit, fontsize=7)
+    axes.legend(fontsize=7)
--- /dev/null
+++ b/tests/test_scale_run.py
@@ -0,0 +1,358 @@
+"""The scale run: its plan's checks, its fits, growth as ratios, events over a fleet, and lists of odd shapes.
+
+Growth is asserted as recorded today: the module looks at all units for each request, so that a request, a
+tick, a change and a whole list grow with the units. No bound here is stricter than that; a stricter one comes
+with a subset of the units for each relay.
+"""
+
+import json
+import subprocess
+import sys
+import tracemalloc
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from loftroute import config
+from loftroute.decision import interface as i
+from loftroute.decision.policy import Balancer
+from loftroute.lab.scale import command, events, fits, fleet_slopes, plan, real, report, slopes, workload
+from loftroute.lab.scale.fits import Point, Series
+from loftroute.lab.scale.plan import EventKind, EventPlan, RealPlan
+from loftroute.lab.setup import MS, SECOND
+from loftroute.lab.standins import ROOT
+from loftroute.protocol import NeedMore, ProtocolError, http1
+from loftroute.protocol.catalog import ENTRIES_LIMIT, Catalog
+
+LINEAR = 1.3  # an exponent that a straight line gives, with room for a busy machine
+FLAT = 3.0  # a growth that is none, on a busy machine
+
+
+# ---- the plan
+
+
+def document() -> dict[str, Any]:
+    return json.loads(msgspec.json.encode(plan.QUICK))
+
+
+def test_a_plan_comes_back_as_it_was_written():
+    assert plan.read(json.dumps(document()).encode()) == plan.QUICK
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("colour",), 3, "colour"),
+        (("slopes", "machines"), 3, "machines"),
+        (("slopes", "units"), [50, -200, 1000, 5000], "slopes.units"),
+        (("slopes", "units"), [50, 200, 1000], "slopes.units"),
+        (("slopes", "units"), [50, 200, 1000, 1e9], "slopes.units"),
+        (("slopes", "repeats"), 0, "slopes.repeats"),
+        (("events", 0, "relays"), -1, "events[0].relays"),
+        (("events", 0, "length_s"), 0, "events[0].length_s"),
+        (("events", 0, "length_s"), 1e6, "events[0].length_s"),
+        (("events", 0, "kind"), "flood", "events[0].kind"),
+        (("real", "seconds"), "long", "real.seconds"),
+        (("stop_after_s",), -5, "stop_after_s"),
+        (("stop_after_s",), None, "stop_after_s"),
+        (("memory_share",), 0.9, "memory_share"),
+        (("processes",), 100_000, "processes"),
+    ],
+)
+def test_a_wrong_field_of_a_plan_gives_status_2_and_is_named(tmp_path, path, value, named):
+    raw = document()
+    place: Any = raw
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    file = tmp_path / "plan.json"
+    file.write_text(json.dumps(raw))
+    result = CliRunner().invoke(command.main, ["--plan", str(file)])
+    assert result.exit_code == 2
+    assert named in result.output
+
+
+@pytest.mark.parametrize("field", ["stop_after_s", "slopes", "events", "real"])
+def test_a_plan_without_an_end_or_a_part_names_what_is_missing(field):
+    raw = document()
+    del raw[field]
+    with pytest.raises(plan.PlanError, match=field):
+        plan.read(json.dumps(raw).encode())
+
+
+def test_the_command_says_what_is_wrong_with_a_plan_in_one_line(tmp_path):
+    file = tmp_path / "plan.json"
+    file.write_text('{"stop_after_s": 1')
+    words = [sys.executable, "-B", "-m", "loftroute.lab.scale", "--plan", str(file)]
+    found = subprocess.run(words, cwd=ROOT, capture_output=True, text=True, check=False)
+    assert found.returncode == 2
+    assert found.stderr.startswith("scale: not JSON") and found.stderr.count("\n") == 1
+
+
+def test_a_run_stops_beginning_parts_once_its_time_is_used_up():
+    played = command.Played(msgspec.structs.replace(plan.QUICK, stop_after_s=1e-9))
+    run = played.play(("slopes", "events"))
+    assert not run.series and not run.events
+    assert len(run.notes) == 2 and all("not run" in note for note in run.notes)
+
+
+def test_an_event_beyond_the_memory_is_left_out_and_told():
+    event = EventPlan(EventKind.RACK, relays=100_000, units=100_000, requests_per_s=1.0, length_s=1.0)
+    played = command.Played(msgspec.structs.replace(plan.QUICK, events=(event,)))
+    played.events()
+    assert not played.run.events
+    assert "rack: not run" in played.run.notes[0]
+
+
+# ---- the fits
+
+
+def test_a_fit_finds_a_line_and_leaves_nothing():
+    found = fits.fit([Point(size, 5.0 + 2.0 * size) for size in (1, 10, 100, 1000)])
+    assert found.intercept == pytest.approx(5.0) and found.slope == pytest.approx(2.0)
+    assert found.residual < 1e-9
+    assert found.growth == pytest.approx(2005.0 / 7.0)
+
+
+def test_a_fit_tells_of_a_square_by_its_exponent_and_residual():
+    found = fits.fit([Point(size, float(size * size)) for size in (1, 10, 100, 1000)])
+    assert found.exponent == pytest.approx(2.0)
+    assert found.residual > 0.3
+
+
+def test_a_fit_of_one_point_is_refused():
+    with pytest.raises(ValueError, match="two sizes"):
+        fits.fit([Point(1, 1.0)])
+
+
+def test_a_figure_is_void_where_the_machine_itself_changed():
+    from loftroute.lab.scale import meter
+
+    assert meter.unsteady([1.0, 1.1, 1.2]) == ""
+    assert "void" in meter.unsteady([1.0, 2.0])
+
+
+def test_a_run_is_read_back_as_it_was_written(tmp_path):
+    series = Series("request", "units", "us", [Point(1, 2.0, 0.1), Point(2, 4.0, 0.1)], "void: a reason")
+    run = report.Run({"seed": 1}, "abc", "now", "then", [series], notes=["a note"])
+    report.write(run, tmp_path, "one")
+    assert report.read(tmp_path / "one.json") == run
+    assert "void: a reason" in (tmp_path / "one.md").read_text()
+
+
+# ---- growth, as ratios
+
+
+@pytest.fixture(scope="module")
+def growth() -> dict[str, fits.Fit]:
+    """The slopes of the quick plan."""
+    found = slopes.measure(plan.QUICK.slopes) + fleet_slopes.sweep(plan.QUICK.slopes.relays)
+    return {series.name: series.fit() for series in found}
+
+
+@pytest.mark.parametrize("figure", ["request", "tick", "tick_at_rest", "change", "whole_list"])
+def test_today_processor_time_grows_with_the_units_and_no_faster(growth, figure):
+    """The recorded state, no aim: 100 times the units cost between 10 and 200 times as much."""
+    found = growth[figure]
+    assert found.exponent < LINEAR
+    assert 10 < found.growth < 200
+    assert found.residual < 0.6
+
+
+@pytest.mark.parametrize("figure", ["request_by_rate", "request_by_services", "request_by_tenants"])
+def test_a_request_costs_as_much_whatever_the_rate_the_services_and_the_tenants(growth, figure):
+    assert growth[figure].growth < FLAT
+
+
+def test_today_memory_and_whole_lists_grow_with_the_units_exactly(growth):
+    for figure in ("memory", "list_bytes"):
+        assert growth[figure].residual < 0.05
+        assert growth[figure].exponent < 1.05
+
+
+def test_a_change_takes_as_many_bytes_whatever_the_fleet(growth):
+    assert growth["change_bytes"].growth < 1.1
+
+
+def test_a_relay_s_control_traffic_does_not_grow_with_the_relays(growth):
+    assert growth["relay_bytes"].growth == pytest.approx(1.0, abs=0.05)
+    assert growth["discovery_calls"].exponent == pytest.approx(1.0, abs=0.05)
+
+
+def test_connections_of_a_relay_stay_below_its_bound_and_most_requests_dial_in_a_large_fleet(growth):
+    """The recorded state: with 5,000 units a connection rests out before its unit is drawn again."""
+    assert growth["connections"].exponent < 0.7
+    assert growth["dials"].growth > 10
+
+
+# ---- events
+
+
+def event(kind: EventKind) -> EventPlan:
+    return next(one for one in plan.QUICK.events if one.kind is kind)
+
+
+@pytest.mark.parametrize("kind", list(EventKind))
+def test_an_event_loses_no_request_and_ends_with_all_right(kind):
+    result = events.play(event(kind))
+    ends = ("served", "refused", "failed", "cut_off", "lost")
+    assert result["asked"] == sum(result[end] for end in ends)
+    for name in ("lost", "open", "answered_twice", "sent_after_end", "effects_twice", "cold_over"):
+        assert result[name] == 0, name
+    assert result["trial_share"] <= result["trial_allowed"]
+    assert result["right_again_s"] < 5.0
+    if kind is not EventKind.CONTROL_MACHINES:
+        assert result["rules_kept"]
+
+
+def test_today_drains_are_not_kept_while_all_of_control_is_away():
+    """The recorded state: only discovery tells of a drain, and no second way stands beside it."""
+    result = events.play(event(EventKind.CONTROL_MACHINES))
+    assert result["drains_broken"] > 0
+
+
+def test_every_relay_asks_for_the_whole_list_once_discovery_comes_back_without_its_history():
+    wanted = event(EventKind.DISCOVERY_RESTART)
+    result = events.play(wanted)
+    assert result["discovery_whole_lists"] == 2 * wanted.relays  # at the start, and again
+    assert result["right_again_s"] < 1.0
+
+
+def test_an_event_follows_from_its_seed():
+    measured = {"processor_s", "control_core_percent", "change_to_last_relay_s"}
+
+    def play(seed: int) -> dict[str, object]:
+        result = events.play(msgspec.structs.replace(event(EventKind.ZONE), seed=seed))
+        return {name: value for name, value in result.items() if name not in measured}
+
+    assert play(3) == play(3)
+    assert play(3) != play(4)
+
+
+# ---- real relays beside hollow ones
+
+
+def test_real_relays_are_measured_and_a_unit_costs_them_memory_too():
+    found = real.sweep(RealPlan(units=(10, 50, 200, 500), requests_per_s=40.0, seconds=0.5, rounds=1))
+    by_name = {series.name: series for series in found}
+    assert all(len(series.points) == 4 for series in found)
+    assert by_name["real_memory"].fit().slope > 0
+    assert by_name["real_connections"].points[-1].value < 1024
+
+
+# ---- lists of odd shapes
+
+
+def catalog() -> Catalog:
+    return Catalog({workload.zone_name(zone): zone for zone in range(workload.ZONES)}, {"m": 0})
+
+
+def read(entries: list[dict[str, Any]], target: Catalog | None = None) -> i.ServerList:
+    text = json.dumps(workload.document(entries, 1, True)).encode()
+    return (target or catalog()).read(text).event
+
+
+def balancer(listed: i.ServerList) -> Balancer:
+    module = Balancer(config.settings(workload.raw_settings(520)), 1)
+    module.handle(100 * SECOND, i.Started())
+    module.handle(100 * SECOND, listed)
+    module.handle(100 * SECOND, workload.released())
+    return module
+
+
+def ask(module: Balancer, count: int = 200) -> set[int]:
+    """The servers that so many requests are sent to."""
+    used = set()
+    for number in range(count):
+        now = 100 * SECOND + number * MS
+        request = i.RequestArrived(f"{number:016x}", None, 0, 0, 20 * MS, 3 * SECOND, False, False)
+        sent = [a for a in module.handle(now, request) if isinstance(a, i.Send)]
+        assert len(sent) == 1
+        used.add(sent[0].server)
+        ended = i.AttemptEnded(request.request, 0, sent[0].server, i.Outcome.OK, 20 * MS, True, None)
+        module.handle(now, ended)
+    return used
+
+
+def test_a_list_of_100_000_entries_is_refused_whole_and_in_bounded_memory():
+    known = catalog()
+    read([workload.entry(1, 0)], known)
+    entries = [workload.entry(number, number % workload.ZONES) for number in range(100_000)]
+    raw = workload.document(entries, 2, True)
+    tracemalloc.start()
+    try:
+        with pytest.raises(ProtocolError, match="a list wanted"):
+            known.listing(raw)
+        assert tracemalloc.get_traced_memory()[1] < 1 << 20
+    finally:
+        tracemalloc.stop()
+    assert len(known.numbers) == 1
+
+
+def test_the_text_of_100_000_entries_is_refused_at_its_head_before_it_is_read():
+    size = 100_000 * 180
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+    with pytest.raises(ProtocolError, match="body too long"):
+        http1.response(head, 0, len(head))
+
+
+def test_the_largest_list_of_today_and_twice_as_many_units_fit_the_longest_document():
+    entries = [workload.entry(number, number % workload.ZONES) for number in range(ENTRIES_LIMIT)]
+    body = json.dumps(workload.document(entries, 1, True)).encode()
+    assert len(body) < workload.LONGEST_LIST
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    with pytest.raises(NeedMore):
+        http1.response(head, 0, len(head))
+    assert len(read(entries).entries) == ENTRIES_LIMIT
+
+
+def test_a_list_with_an_entry_twice_changes_nothing():
+    known = catalog()
+    with pytest.raises(ProtocolError, match="twice"):
+        read([workload.entry(1, 0), workload.entry(1, 0)], known)
+    assert not known.numbers
+
+
+@pytest.mark.parametrize("zone", ["z03", None, "", "nowhere"])
+def test_units_all_in_one_zone_or_in_none_that_is_known_are_all_used(zone):
+    entries = [workload.entry(number, 0) for number in range(40)]
+    for entry in entries:
+        entry["zone"] = zone
+        if zone is None:
+            del entry["zone"]
+    assert len(ask(balancer(read(entries)))) > 30
+
+
+@pytest.mark.parametrize("weight", [0, -1, "NaN", 1e999])
+def test_a_weight_that_is_none_refuses_the_list(weight):
+    entries = [workload.entry(number, 0) for number in range(4)]
+    entries[2]["weight"] = weight
+    with pytest.raises(ProtocolError):
+        read(entries)
+
+
+@pytest.mark.parametrize("weight", [1e-300, 1e6, 1e300])
+def test_a_huge_or_tiny_weight_draws_the_requests_by_size(weight):
+    entries = [workload.entry(number, 0) for number in range(8)]
+    for entry in entries[:4]:
+        entry["weight"] = weight
+    heavy = {1, 2, 3, 4} if weight > 1 else {5, 6, 7, 8}
+    assert ask(balancer(read(entries))) <= heavy
+
+
+def test_today_weights_whose_sum_is_not_finite_send_all_requests_to_one_unit():
+    """The recorded state, a fault: the catalog takes any finite weight, and the module's sum of them overflows.
+    Every request still gets its server."""
+    entries = [workload.entry(number, 0) for number in range(8)]
+    for entry in entries[:4]:
+        entry["weight"] = 1.7e308
+    assert len(ask(balancer(read(entries)))) == 1
+
+
+def test_a_relay_forgets_what_has_left_the_list():
+    module = balancer(read([workload.entry(number, 0) for number in range(2000)]))
+    module.handle(200 * SECOND, replace(read([workload.entry(1, 0)]), version=2))
+    assert len(module.servers) == 1
