--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -344,7 +344,7 @@
 
 
 def test_today_weights_whose_sum_is_not_finite_send_all_requests_to_one_unit():
-    """The recorded state, a fault: the catalog takes any finite weight, and the module's sum of them overflows.
+    """The recorded state, a fault: the catalog takes any finite weight, and the sum of them overflows.
     Every request still gets its server."""
     entries = [workload.entry(number, 0) for number in range(8)]
     for entry in entries[:4]:
