Scale run: the users' sizes from measured slopes, and single events from the command

A void figure is shown as not known. Growth is asserted in one test, since a parallel run would measure it once a worker.

--- a/loftroute/lab/scale/command.py
+++ b/loftroute/lab/scale/command.py
@@ -14,7 +14,7 @@
 
 from loftroute.lab.scale import events, fleet_slopes, latency, processes, real, report, slopes
 from loftroute.lab.scale import plan as plans
-from loftroute.lab.scale.plan import Plan
+from loftroute.lab.scale.plan import EventKind, Plan
 from loftroute.lab.scale.report import Run
 
 PARTS = ("slopes", "relays", "events", "real", "latency")
@@ -99,15 +99,26 @@
 @click.option("--plan", "path", type=click.Path(exists=True, dir_okay=False), help="A plan, as JSON.")
 @click.option("--quick", is_flag=True, help="The small plan that CI plays, under a minute.")
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only these parts.")
+@click.option("--event", "kinds", multiple=True, type=click.Choice([k.value for k in EventKind]))
 @click.option("--out", type=click.Path(file_okay=False), help="Write NAME.json, NAME.md and NAME.svg there.")
 @click.option("--name", default="scale", show_default=True)
-def main(path: str | None, quick: bool, parts: tuple[str, ...], out: str | None, name: str) -> None:
+def main(
+    path: str | None,
+    quick: bool,
+    parts: tuple[str, ...],
+    kinds: tuple[str, ...],
+    out: str | None,
+    name: str,
+) -> None:
     """Measure how the relay's costs grow, and play the events of a large fleet."""
     try:
         plan = read_plan(path, quick)
     except plans.PlanError as problem:
         click.echo(f"scale: {problem}", err=True)
         sys.exit(2)
+    if kinds:
+        chosen = tuple(event for event in plan.events if event.kind.value in kinds)
+        plan = msgspec.structs.replace(plan, events=chosen)
     run = Played(plan).play(parts or PARTS)
     click.echo(report.text(run))
     for line in voids(run):
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -19,7 +19,18 @@
 from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
-from loftroute.lab.scale import command, events, fits, fleet_slopes, plan, real, report, slopes, workload
+from loftroute.lab.scale import (
+    capacity,
+    command,
+    events,
+    fits,
+    fleet_slopes,
+    plan,
+    real,
+    report,
+    slopes,
+    workload,
+)
 from loftroute.lab.scale.fits import Point, Series
 from loftroute.lab.scale.plan import EventKind, EventPlan, RealPlan
 from loftroute.lab.setup import MS, SECOND
@@ -146,48 +157,52 @@
 # ---- growth, as ratios
 
 
-@pytest.fixture(scope="module")
-def growth() -> dict[str, fits.Fit]:
-    """The slopes of the quick plan."""
-    found = slopes.measure(plan.QUICK.slopes) + fleet_slopes.sweep(plan.QUICK.slopes.relays)
-    return {series.name: series.fit() for series in found}
-
-
-@pytest.mark.parametrize("figure", ["request", "tick", "tick_at_rest", "change", "whole_list"])
-def test_today_processor_time_grows_with_the_units_and_no_faster(growth, figure):
+def check_processor_time_by_units(growth: dict[str, fits.Fit]) -> None:
     """The recorded state, no aim: 100 times the units cost between 10 and 200 times as much."""
-    found = growth[figure]
-    assert found.exponent < LINEAR
-    assert 10 < found.growth < 200
-    assert found.residual < 0.6
+    for figure in ("request", "tick", "tick_at_rest", "change", "whole_list"):
+        found = growth[figure]
+        assert found.exponent < LINEAR, figure
+        assert 10 < found.growth < 200, figure
+        assert found.residual < 0.6, figure
 
 
-@pytest.mark.parametrize("figure", ["request_by_rate", "request_by_services", "request_by_tenants"])
-def test_a_request_costs_as_much_whatever_the_rate_the_services_and_the_tenants(growth, figure):
-    assert growth[figure].growth < FLAT
+def check_requests_by_the_rest(growth: dict[str, fits.Fit]) -> None:
+    """A request costs as much whatever the rate, the services and the tenants."""
+    for figure in ("request_by_rate", "request_by_services", "request_by_tenants"):
+        assert growth[figure].growth < FLAT, figure
 
 
-def test_today_memory_and_whole_lists_grow_with_the_units_exactly(growth):
+def check_memory_and_bytes(growth: dict[str, fits.Fit]) -> None:
+    """The recorded state: memory and whole lists grow with the units exactly, a change does not."""
     for figure in ("memory", "list_bytes"):
-        assert growth[figure].residual < 0.05
-        assert growth[figure].exponent < 1.05
-
-
-def test_a_change_takes_as_many_bytes_whatever_the_fleet(growth):
+        assert growth[figure].residual < 0.05, figure
+        assert growth[figure].exponent < 1.05, figure
     assert growth["change_bytes"].growth < 1.1
 
 
-def test_a_relay_s_control_traffic_does_not_grow_with_the_relays(growth):
+def check_control_by_relays(growth: dict[str, fits.Fit]) -> None:
+    """A relay's own control traffic does not grow with the relays; discovery's does, as they do."""
     assert growth["relay_bytes"].growth == pytest.approx(1.0, abs=0.05)
     assert growth["discovery_calls"].exponent == pytest.approx(1.0, abs=0.05)
 
 
-def test_connections_of_a_relay_stay_below_its_bound_and_most_requests_dial_in_a_large_fleet(growth):
-    """The recorded state: with 5,000 units a connection rests out before its unit is drawn again."""
+def check_connections(growth: dict[str, fits.Fit]) -> None:
+    """The recorded state: among 5,000 units a connection rests out before its unit is drawn again."""
     assert growth["connections"].exponent < 0.7
     assert growth["dials"].growth > 10
 
 
+def test_growth_is_as_recorded():
+    """One measurement for all, since it takes seconds of processor time."""
+    found = slopes.measure(plan.QUICK.slopes) + fleet_slopes.sweep(plan.QUICK.slopes.relays)
+    growth = {series.name: series.fit() for series in found}
+    check_processor_time_by_units(growth)
+    check_requests_by_the_rest(growth)
+    check_memory_and_bytes(growth)
+    check_control_by_relays(growth)
+    check_connections(growth)
+
+
 # ---- events
 
 
@@ -356,3 +371,35 @@
     module = balancer(read([workload.entry(number, 0) for number in range(2000)]))
     module.handle(200 * SECOND, replace(read([workload.entry(1, 0)]), version=2))
     assert len(module.servers) == 1
+
+
+# ---- the users' sizes
+
+
+def measured(**slopes_by_units: float) -> capacity.Measured:
+    names = [
+        "real_added_p99", "real_idle", "real_memory", "real_request", "tick", "change", "whole_list",
+        "list_bytes", "change_bytes", "connections", "memory_by_tenants", "relay_bytes",
+        "change_to_last_relay",
+    ]  # fmt: skip
+    series = [
+        Series(name, "units", "", [Point(1, 0.0), Point(1000, 999 * slopes_by_units.get(name, 0.0))])
+        for name in names
+    ]
+    return capacity.Measured([report.Run({}, series=series)])
+
+
+def test_a_limit_holds_up_to_the_size_at_which_it_is_used_up():
+    table = capacity.most_units_table(
+        capacity.Fleet(), measured(real_memory=0.1), capacity.Limits(memory_mb=100.0)
+    )
+    most = {row["figure"]: row["most_units"] for row in table.rows}
+    assert most["memory"] == "1000"
+    assert most["processor time for control"] == "50000 or more"
+
+
+def test_a_void_figure_is_neither_kept_nor_broken():
+    found = capacity.Figure("memory", 1.0, 256.0, "MB", "real_memory", "real_memory")
+    assert found.verdict == "not known"
+    assert replace(found, void="-").verdict == "yes"
+    assert replace(found, void="-", needed=300.0).verdict == "**no**"
