--- a/loftroute/lab/scale/command.py
+++ b/loftroute/lab/scale/command.py
@@ -62,7 +62,7 @@
 
     def real(self) -> None:
         found = real.sweep(self.plan.real)
-        self.run.comparison = real.compare(self.run.series, found)
+        self.run.comparison = real.compare(found)
         self.run.series += found
 
     def latency(self) -> None:
