--- a/loftroute/cli/pair.py
+++ b/loftroute/cli/pair.py
@@ -32,13 +32,13 @@
         keys = read(product.message.pair.key_file)
     except KeyFileError as problem:
         raise SettingsError(f"{path}: pair.key_file: {problem}") from problem
-    nonce = secrets.token_bytes(wire.NONCE)
+    nonce = secrets.token_bytes(wire.NONCE_SIZE)
     with socket.create_connection((host, int(port)), timeout=10) as sock:
         sock.sendall(wire.greeting("operator", nonce, keys.sealing))
         data = bytearray()
         _, theirs, number = wire.greeted(_frame(sock, data))
-        outward = wire.Proof(keys.known[keys.sealing], nonce, theirs, True)
-        inward = wire.Proof(keys.known[number], nonce, theirs, False)
+        outward = wire.FrameAuthenticator(keys.known[keys.sealing], nonce, theirs, True)
+        inward = wire.FrameAuthenticator(keys.known[number], nonce, theirs, False)
         sock.sendall(outward.seal(message))
         answer = inward.open(_frame(sock, data))
     if not isinstance(answer, wire.Report):
@@ -64,7 +64,7 @@
 @click.option("--json", "as_json", is_flag=True, help="For a program to read.")
 def status(path: str, as_json: bool) -> None:
     """How the relay stands: mode, epoch, virtual routers."""
-    found = msgpack.unpackb(bytes.fromhex(_ask(path, wire.Status())))
+    found = msgpack.unpackb(bytes.fromhex(_ask(path, wire.StatusRequest())))
     if as_json:
         click.echo(json.dumps(found))
         return
@@ -82,7 +82,7 @@
 def promote(path: str) -> None:
     """Order the relay to go on alone, since the other is lost. Refused (status 1) while the other is
     heard."""
-    answer = _ask(path, wire.Order())
+    answer = _ask(path, wire.PromoteRequest())
     click.echo(answer)
     if not answer.startswith("alone"):
         raise SystemExit(1)
@@ -92,4 +92,4 @@
 @option
 def failback(path: str) -> None:
     """Have the Active hand its addresses on (priority 0); what it has taken it still answers."""
-    click.echo(_ask(path, wire.StandDown()))
+    click.echo(_ask(path, wire.FailbackRequest()))
--- a/loftroute/lab/killer.py
+++ b/loftroute/lab/killer.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from loftroute.recall.keeper import Answering, Keeper
+from loftroute.recall.keeper import Keeper, SharedTicket
 from loftroute.relay.module import Module
 from loftroute.relay.units import Attempt
 from loftroute.store.writer import LogWriter
@@ -21,12 +21,12 @@
     "before the intent": (Keeper, "intend", True),
     "intent written, not safe": (Keeper, "intend", False),
     "committed, nobody told": (LogWriter, "_group_durable", True),
-    "intent safe": (Keeper, "_safe", True),
-    "claim answered": (Keeper, "_told", True),
+    "intent safe": (Keeper, "_intent_durable", True),
+    "claim answered": (Keeper, "_claim_decided", True),
     "request sent": (Module, "go", False),
     "unit answered": (Keeper, "ended", True),
     "outcome written, not safe": (Keeper, "ended", False),
-    "client answered": (Answering, "served", False),
+    "client answered": (SharedTicket, "served", False),
 }
 
 
--- a/loftroute/lab/pair_model.py
+++ b/loftroute/lab/pair_model.py
@@ -14,34 +14,33 @@
 from loftroute.pair import fence
 from loftroute.pair.fence import (
     AskWitness,
-    Bounds,
-    Came,
     Claim,
     Denied,
-    Drop,
+    FlushRecords,
     Granted,
-    Keep,
     LinkDown,
     LinkUp,
+    MessageReceived,
     Mirror,
     Mode,
-    Persist,
-    Persisted,
-    Said,
+    PairLimits,
+    PairMember,
+    RecordStored,
+    SendMessage,
     SendRecords,
-    Side,
+    SendRequested,
     Standing,
-    Stored,
-    SyncDown,
+    StandingStored,
+    StoreRecord,
+    StoreStanding,
     SyncEnd,
-    Tell,
     Tick,
-    Verdict,
-    Want,
     Witness,
+    WitnessAnswered,
+    WitnessRecord,
 )
 
-BOUNDS = Bounds(patience=1, again=0)
+BOUNDS = PairLimits(heartbeat_timeout=1, retry_interval=0)
 MAY = b"may"
 
 
@@ -53,7 +52,7 @@
 class Node:
     """A relay: its core, what is on its disk, what is only in its memory."""
 
-    side: Side
+    side: PairMember
     disk: dict[str, bytes] = field(default_factory=dict)
     standing: Standing = field(default_factory=Standing)
     open: set[str] = field(default_factory=set)
@@ -84,7 +83,7 @@
 
     def __post_init__(self) -> None:
         for name in ("a", "b"):
-            self.nodes[name] = Node(Side(name, BOUNDS, self.witnessed))
+            self.nodes[name] = Node(PairMember(name, BOUNDS, self.witnessed))
             self.wire[name] = deque()
 
     def paired(self) -> "World":
@@ -93,7 +92,7 @@
             node.standing = node.side.standing = Standing(1, Mode.PAIRED)
             node.side.linked, node.side.peer = True, Standing(1, Mode.PAIRED)
             self.wire[name].clear()
-        self.linked, self.witness.record = True, Verdict(1, "")
+        self.linked, self.witness.record = True, WitnessRecord(1, "")
         return self
 
     # ---- what may happen
@@ -139,22 +138,22 @@
             node.standing = what[0]
             if what[0].mode is Mode.ALONE and self.alone.setdefault(what[0].epoch, name) != name:
                 raise Broken(f"epoch {what[0].epoch} is alone on both sides")
-            self._run(name, Persisted(what[0]))
+            self._run(name, StandingStored(what[0]))
         elif kind == "intent":
             node.disk[what[0]] = MAY
-            self._run(name, Want(what[0], MAY))
+            self._run(name, SendRequested(what[0], MAY))
         elif kind == "keep":
             node.disk[what[0]] = what[1]
             if what[2] and what[3] == node.link:
-                self._run(name, Stored(what[2]))
+                self._run(name, RecordStored(what[2]))
         elif what[0] == node.link:
-            self._run(name, Stored(0))
+            self._run(name, RecordStored(0))
 
     def _hear(self, name: str) -> None:
         node, message = self.nodes[name], self.wire[name].popleft()
         known = set(node.disk) | {w[1] for w in node.work if w[0] in ("intent", "keep")}
         conflict = isinstance(message, Claim) and (message.id in node.open or message.id in known)
-        self._run(name, Came(message, conflict))
+        self._run(name, MessageReceived(message, conflict))
 
     def _witness(self, name: str) -> None:
         ask = self.asks.pop(name)
@@ -162,7 +161,7 @@
         self.answers[name] = self.witness.record
 
     def _answer(self, name: str) -> None:
-        self._run(name, Said(self.answers.pop(name)))
+        self._run(name, WitnessAnswered(self.answers.pop(name)))
 
     def _ask(self, name: str, one: str) -> None:
         """A client asks; what this side knows to have run, or maybe run, is not sent again."""
@@ -186,7 +185,7 @@
 
     def _start(self, name: str) -> None:
         node = self.nodes[name]
-        node.side = Side(name, BOUNDS, self.witnessed, node.standing)
+        node.side = PairMember(name, BOUNDS, self.witnessed, node.standing)
         node.up = True
 
     def _cut(self) -> None:
@@ -214,16 +213,16 @@
     def _run(self, name: str, event: fence.Event) -> None:
         node = self.nodes[name]
         for action in node.side.handle(self.now, event):
-            if isinstance(action, Tell):
+            if isinstance(action, SendMessage):
                 if self.linked:
                     self.wire[self._peer(name)].append(action.message)
             elif isinstance(action, AskWitness):
                 self.asks[name] = action.ask
-            elif isinstance(action, Persist):
+            elif isinstance(action, StoreStanding):
                 node.work.append(("standing", action.standing))
-            elif isinstance(action, Keep):
+            elif isinstance(action, StoreRecord):
                 node.work.append(("keep", action.id, action.record, action.number, node.link))
-            elif isinstance(action, SyncDown):
+            elif isinstance(action, FlushRecords):
                 node.work.append(("sync", node.link))
             elif isinstance(action, SendRecords):
                 for one, record in node.disk.items():
@@ -307,4 +306,4 @@
     return world
 
 
-__all__ = ["Broken", "Drop", "World", "explore", "wander"]
+__all__ = ["Broken", "World", "explore", "wander"]
--- a/loftroute/lab/store_bench.py
+++ b/loftroute/lab/store_bench.py
@@ -187,7 +187,7 @@
         if number % 5000 == 0:
             drive(engine.sweep(number))
         if number > 40_000 and number % 100 == 0:
-            live = engine.active.end + sum(s.live for s in engine.sealed)  # type: ignore[union-attr]
+            live = engine.active.end + sum(s.live_bytes for s in engine.sealed)  # type: ignore[union-attr]
             worst = max(worst, (engine.used - limits.segment) / live)
     counters = engine.counters
     table.add(
--- a/loftroute/lab/store_trial.py
+++ b/loftroute/lab/store_trial.py
@@ -14,7 +14,7 @@
 from loftroute.lab.disk import Disk, DiskDirectory, PowerLost
 from loftroute.store.engine import Engine
 from loftroute.store.followers import Follower
-from loftroute.store.plan import Limits, Refused, Unsure
+from loftroute.store.plan import DurabilityUnknown, Limits, Refused
 from loftroute.store.records import DELETE, PUT, Op, StoreError
 from loftroute.store.state import CutOff, Snapshot
 from loftroute.store.steps import Sync
@@ -191,7 +191,7 @@
             _apply(self.safe, batch)
             self.log += [(op.key, op.value if op.kind == PUT else None) for op in batch.ops]
             self.tally.acknowledged += 1
-        elif isinstance(problem, Unsure):
+        elif isinstance(problem, DurabilityUnknown):
             batch.verdict = "unsure"
             self.maybe.append(batch)
             self.tally.unsure += 1
@@ -208,7 +208,7 @@
         elif rng.random() < 0.3:
             self.running.setdefault("sweep", engine.sweep(self.now))
         else:
-            engine.tend()
+            engine.restore_reserve()
 
     def _step(self) -> None:
         name = self.rng.choice(["commit", "commit", *self.running])
@@ -246,8 +246,8 @@
         counted = self.engine.state.usage.get(self.space, [0, 0])[0]
         if counted < there or (self.engine.usage_exact and counted > there):
             raise Broken(f"seed {self.seed}: {counted} keys are counted, {there} are there")
-        if sum(s.live for s in self.engine.state.segments.values()) < 0 or any(
-            not 0 <= s.live <= s.size for s in self.engine.state.segments.values()
+        if sum(s.live_bytes for s in self.engine.state.segments.values()) < 0 or any(
+            not 0 <= s.live_bytes <= s.size for s in self.engine.state.segments.values()
         ):
             raise Broken(f"seed {self.seed}: live bytes do not add up")
 
--- a/loftroute/pair/attach.py
+++ b/loftroute/pair/attach.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from loftroute.decision.interface import ServerState
-from loftroute.pair.fence import Bounds
+from loftroute.pair.fence import PairLimits
 from loftroute.pair.link import Pair
 from loftroute.pair.witness import WitnessServer
 from loftroute.protocol.catalog import Address as Place
@@ -112,7 +112,7 @@
         address(said.peer),
         address(said.witness) if said.witness else None,
         ring(product, said.key_file),
-        Bounds(product.span("pair.patience_ms"), product.span("pair.again_ms")),
+        PairLimits(product.span("pair.patience_ms"), product.span("pair.again_ms")),
     )
     pair.records, keeper.pair = keeper, pair
     relay.parts.append(pair)
--- a/loftroute/pair/fence.py
+++ b/loftroute/pair/fence.py
@@ -28,10 +28,9 @@
 
     epoch: int = 0
     mode: Mode = Mode.NEW
-    synced: bool = (
-        False  # fenced: it has all that the side that is alone has; alone: the other has all, and each
-    )
-    # claim goes to it too until the witness has written the pair down
+    # Fenced: it has all records of the side that is alone. Alone: the other has all, and each claim goes to
+    # it too until the witness has written the pair down.
+    synced: bool = False
 
 
 # ---- what the sides tell each other, in order over one connection
@@ -90,7 +89,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class WitnessRequest:
     """`alone`: may I go on alone after this epoch; else: I am alone in it, and the pair is one again.
     `order`: an operator says that the other is lost."""
 
@@ -101,7 +100,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class WitnessRecord:
     """The witness's record: who is alone in this epoch, empty for the pair."""
 
     epoch: int
@@ -120,20 +119,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Came:
+class MessageReceived:
     message: Message
     conflict: bool = False  # for a claim: this side has the id open, or knows more of it
 
 
 @dataclass(frozen=True, slots=True)
-class Said:
+class WitnessAnswered:
     """The witness's answer."""
 
-    verdict: Verdict
+    verdict: WitnessRecord
 
 
 @dataclass(frozen=True, slots=True)
-class Want:
+class SendRequested:
     """This side's own intent is safe; may it be sent?"""
 
     id: str
@@ -141,14 +140,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Drop:
+class RequestEnded:
     """The request ended before an answer to its claim came."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
-class Stored:
+class RecordStored:
     """A record of the peer is safe; `number` is its claim's, 0 for the end of the records sent at the
     start."""
 
@@ -156,7 +155,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Persisted:
+class StandingStored:
     standing: Standing
 
 
@@ -169,22 +168,33 @@
     """An operator's order to go on alone."""
 
 
-Event = LinkUp | LinkDown | Came | Said | Want | Drop | Stored | Persisted | Tick | Promote
+Event = (
+    LinkUp
+    | LinkDown
+    | MessageReceived
+    | WitnessAnswered
+    | SendRequested
+    | RequestEnded
+    | RecordStored
+    | StandingStored
+    | Tick
+    | Promote
+)
 
 
 @dataclass(frozen=True, slots=True)
-class Tell:
+class SendMessage:
     message: Message
 
 
 @dataclass(frozen=True, slots=True)
 class AskWitness:
-    ask: Ask
+    ask: WitnessRequest
 
 
 @dataclass(frozen=True, slots=True)
-class Keep:
-    """Store a record of the peer, then say `Stored`."""
+class StoreRecord:
+    """Store a record of the peer, then say `RecordStored`."""
 
     id: str
     record: bytes
@@ -192,7 +202,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Persist:
+class StoreStanding:
     standing: Standing
 
 
@@ -202,8 +212,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SyncDown:
-    """All records sent so far are to be safe, then say `Stored(0)`."""
+class FlushRecords:
+    """All records sent so far are to be safe, then say `RecordStored(0)`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,24 +236,34 @@
     why: str
 
 
-Action = Tell | AskWitness | Keep | Persist | SendRecords | SyncDown | Granted | Denied | Refusal
+Action = (
+    SendMessage
+    | AskWitness
+    | StoreRecord
+    | StoreStanding
+    | SendRecords
+    | FlushRecords
+    | Granted
+    | Denied
+    | Refusal
+)
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds:
+class PairLimits:
     """Times in nanoseconds: when to ask, never who may."""
 
-    patience: int  # without the link before the witness is asked
-    again: int  # between two questions
+    heartbeat_timeout: int  # without the link before the witness is asked
+    retry_interval: int  # between two questions
     claims: int = 10_000  # waiting for the peer at once
 
 
 @dataclass(slots=True)
-class Side:
+class PairMember:
     """One relay of the pair."""
 
     name: str
-    bounds: Bounds
+    bounds: PairLimits
     witnessed: bool  # there is a witness; without one only an operator lets a side go on alone
     standing: Standing = field(default_factory=Standing)
     linked: bool = False
@@ -254,26 +274,26 @@
     number: int = 0
     persisting: Standing | None = None
     complete: bool = False  # rejoining: the peer has all, also what was granted alone until then
-    undoable: bool = False  # rejoining: the witness was not yet told
+    can_undo_rejoin: bool = False  # rejoining: the witness was not yet told
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """What an event leads to. Messages of a connection that ended are not handed in."""
-        if isinstance(event, Came):
-            return self._came(now, event)
-        if isinstance(event, Want):
-            return self._want(event)
-        if isinstance(event, Drop):
+        if isinstance(event, MessageReceived):
+            return self._received(now, event)
+        if isinstance(event, SendRequested):
+            return self._send_requested(event)
+        if isinstance(event, RequestEnded):
             self.claims = {n: claim for n, claim in self.claims.items() if claim[0] != event.id}
             return []
-        if isinstance(event, Stored):
-            return self._stored(event)
-        if isinstance(event, Persisted):
-            return self._persisted(now, event.standing)
-        if isinstance(event, Said):
-            return self._said(now, event.verdict)
+        if isinstance(event, RecordStored):
+            return self._record_stored(event)
+        if isinstance(event, StandingStored):
+            return self._standing_stored(now, event.standing)
+        if isinstance(event, WitnessAnswered):
+            return self._witness_answered(now, event.verdict)
         if isinstance(event, LinkUp):
             self.linked, self.peer = True, None
-            return [Tell(Hello(self.standing))]
+            return [SendMessage(Hello(self.standing))]
         if isinstance(event, LinkDown):
             return self._link_down(now)
         if isinstance(event, Promote):
@@ -304,10 +324,12 @@
 
     # ---- claims
 
-    def _want(self, event: Want) -> list[Action]:
+    def _send_requested(self, event: SendRequested) -> list[Action]:
         mode = self.standing.mode
         if mode is Mode.ALONE and not self.rejoining:
-            told: list[Action] = [Tell(Mirror(event.id, event.record))] if self.linked and self.peer else []
+            told: list[Action] = (
+                [SendMessage(Mirror(event.id, event.record))] if self.linked and self.peer else []
+            )
             return [Granted(event.id), *told]
         if mode is Mode.FENCED or mode is Mode.NEW:
             return [Denied(event.id, "the other relay may be alone")]
@@ -319,16 +341,16 @@
 
     def _tell_claim(self, number: int) -> Action:
         name, record = self.claims[number]
-        return Tell(Claim(self.standing.epoch, number, name, record))
+        return SendMessage(Claim(self.standing.epoch, number, name, record))
 
-    def _claim(self, claim: Claim, conflict: bool) -> list[Action]:
+    def _claimed(self, claim: Claim, conflict: bool) -> list[Action]:
         """Taken only in the epoch that it was made in, and where this side knows nothing that speaks against
         it."""
         mode = self.standing.mode
         joint = mode is Mode.PAIRED or (mode is Mode.FENCED and self.standing.synced)
         if conflict or not joint or claim.epoch != self.standing.epoch or self.persisting is not None:
-            return [Tell(ClaimAnswer(claim.number, False))]
-        return [Keep(claim.id, claim.record, claim.number)]
+            return [SendMessage(ClaimAnswer(claim.number, False))]
+        return [StoreRecord(claim.id, claim.record, claim.number)]
 
     def _answered(self, answer: ClaimAnswer) -> list[Action]:
         claim = self.claims.pop(answer.number, None)
@@ -338,25 +360,25 @@
             return [Granted(claim[0])]
         return [Denied(claim[0], "the other relay did not take the claim")]
 
-    def _stored(self, event: Stored) -> list[Action]:
+    def _record_stored(self, event: RecordStored) -> list[Action]:
         if event.number:
-            return [Tell(ClaimAnswer(event.number, True))] if self.linked else []
+            return [SendMessage(ClaimAnswer(event.number, True))] if self.linked else []
         return self._all_stored()
 
     # ---- coming together
 
-    def _came(self, now: int, event: Came) -> list[Action]:
+    def _received(self, now: int, event: MessageReceived) -> list[Action]:
         message = event.message
         if isinstance(message, Hello):
             return self._hello(message.standing)
         if isinstance(message, Claim):
-            return self._claim(message, event.conflict)
+            return self._claimed(message, event.conflict)
         if isinstance(message, ClaimAnswer):
             return self._answered(message)
         if isinstance(message, Mirror):
-            return [Keep(message.id, message.record, 0)]
+            return [StoreRecord(message.id, message.record, 0)]
         if isinstance(message, SyncEnd):
-            return [SyncDown()]
+            return [FlushRecords()]
         if isinstance(message, Synced):
             return self._peer_synced(now)
         return self._rejoined(message.epoch)
@@ -366,9 +388,9 @@
         first, self.peer, mine = self.peer is None, peer, self.standing
         actions: list[Action] = [SendRecords()] if first or self._peer_lacks else []
         if peer.mode is Mode.ALONE and peer.epoch > mine.epoch:  # it went on without us
-            actions += self._persist(Standing(peer.epoch, Mode.FENCED))
+            actions += self._store_standing(Standing(peer.epoch, Mode.FENCED))
         elif peer.mode is mine.mode is Mode.ALONE and peer.epoch == mine.epoch:
-            actions += self._persist(
+            actions += self._store_standing(
                 Standing(mine.epoch, Mode.FENCED)
             )  # only after wrong orders: neither sends
         if self._in_step:
@@ -385,14 +407,14 @@
             return []
         standing, peer = self.persisting or self.standing, self.peer
         if standing.mode is Mode.FENCED and peer.mode is Mode.ALONE and not standing.synced:
-            return self._persist(Standing(standing.epoch, Mode.FENCED, True))
+            return self._store_standing(Standing(standing.epoch, Mode.FENCED, True))
         if (
             standing.mode in (Mode.FENCED, Mode.NEW)
             and peer.mode is Mode.PAIRED
             and peer.epoch >= standing.epoch
         ):
-            return self._persist(Standing(peer.epoch, Mode.PAIRED))
-        return [Tell(Synced())] if self.persisting is None else []
+            return self._store_standing(Standing(peer.epoch, Mode.PAIRED))
+        return [SendMessage(Synced())] if self.persisting is None else []
 
     def _peer_synced(self, now: int) -> list[Action]:
         mine, peer = self.standing, self.peer
@@ -402,22 +424,22 @@
             self.complete = True
             return self._ask(now, alone=False)
         if mine.mode is Mode.ALONE:  # from here on each claim needs the peer's word, also after a crash
-            return self._persist(Standing(mine.epoch, Mode.ALONE, True))
+            return self._store_standing(Standing(mine.epoch, Mode.ALONE, True))
         if mine.mode is Mode.NEW and peer.mode is Mode.NEW:
-            return self._persist(Standing(1, Mode.PAIRED))
+            return self._store_standing(Standing(1, Mode.PAIRED))
         return []
 
     def _rejoined(self, epoch: int) -> list[Action]:
         mine = self.standing
         if mine.mode is Mode.FENCED and mine.synced and epoch > mine.epoch:
-            return self._persist(Standing(epoch, Mode.PAIRED))
+            return self._store_standing(Standing(epoch, Mode.PAIRED))
         return []
 
-    def _persist(self, standing: Standing) -> list[Action]:
+    def _store_standing(self, standing: Standing) -> list[Action]:
         self.persisting = standing
-        return [Persist(standing)]
+        return [StoreStanding(standing)]
 
-    def _persisted(self, now: int, standing: Standing) -> list[Action]:
+    def _standing_stored(self, now: int, standing: Standing) -> list[Action]:
         """Safe on disk: acted on only now."""
         if standing != self.persisting:
             return []
@@ -426,24 +448,24 @@
         if (
             self.rejoining
         ):  # what was granted alone meanwhile went before this: once that is safe too, it has all
-            self.complete, self.undoable = False, True
-            return [Tell(SyncEnd())] if self.linked else self._link_down(now)
+            self.complete, self.can_undo_rejoin = False, True
+            return [SendMessage(SyncEnd())] if self.linked else self._link_down(now)
         self.complete = False
         if standing.mode is Mode.ALONE:
-            actions += self._all(granted=True)
+            actions += self._settle_claims(granted=True)
         elif standing.mode is Mode.FENCED:
-            actions += self._all(granted=False)
+            actions += self._settle_claims(granted=False)
             if standing.synced and self.linked:
-                actions.append(Tell(Synced()))
+                actions.append(SendMessage(Synced()))
         if before.mode is Mode.ALONE and standing.mode is Mode.PAIRED and self.linked:
-            actions.append(Tell(Rejoin(standing.epoch)))
+            actions.append(SendMessage(Rejoin(standing.epoch)))
         if self.linked:
-            actions.append(Tell(Hello(standing)))
+            actions.append(SendMessage(Hello(standing)))
             if standing.mode is Mode.ALONE or (standing.mode is Mode.PAIRED and self._peer_lacks):
                 actions.append(SendRecords())
         return actions
 
-    def _all(self, granted: bool) -> list[Action]:
+    def _settle_claims(self, granted: bool) -> list[Action]:
         claims, self.claims = self.claims, {}
         return [
             Granted(name) if granted else Denied(name, "this relay was fenced") for name, _ in claims.values()
@@ -453,13 +475,19 @@
 
     def _link_down(self, now: int) -> list[Action]:
         self.linked, self.peer, self.down_since = False, None, now
-        if self.rejoining and self.undoable and self.persisting is None:  # nobody was told: alone as before
-            return self._persist(Standing(self.standing.epoch, Mode.ALONE))
+        if (
+            self.rejoining and self.can_undo_rejoin and self.persisting is None
+        ):  # nobody was told: alone as before
+            return self._store_standing(Standing(self.standing.epoch, Mode.ALONE))
         return []
 
     def _tick(self, now: int) -> list[Action]:
         mode = self.standing.mode
-        if not self.witnessed or now - self.asked_at < self.bounds.again or self.persisting is not None:
+        if (
+            not self.witnessed
+            or now - self.asked_at < self.bounds.retry_interval
+            or self.persisting is not None
+        ):
             return []
         if self.rejoining and self.complete:  # whether the witness has written it down is not known
             return self._ask(now, alone=False)
@@ -467,8 +495,8 @@
             self.linked or self.rejoining
         ) and not self._in_step:  # the witness may have said something that was not heard
             self.asked_at = now
-            return [AskWitness(Ask(self.name, 0, False))]
-        if self.linked or now - self.down_since < self.bounds.patience:
+            return [AskWitness(WitnessRequest(self.name, 0, False))]
+        if self.linked or now - self.down_since < self.bounds.heartbeat_timeout:
             return []
         if mode is Mode.PAIRED or (mode is Mode.FENCED and self.standing.synced):
             return self._ask(now, alone=True)
@@ -476,30 +504,30 @@
 
     def _ask(self, now: int, alone: bool, order: bool = False) -> list[Action]:
         self.asked_at = now
-        self.undoable = False
+        self.can_undo_rejoin = False
         if not self.witnessed:
             if alone:  # an order, with nobody to ask
-                return self._persist(Standing(self.standing.epoch + 1, Mode.ALONE))
-            return self._persist(Standing(self.standing.epoch + 1, Mode.PAIRED))
-        return [AskWitness(Ask(self.name, self.standing.epoch, alone, order))]
+                return self._store_standing(Standing(self.standing.epoch + 1, Mode.ALONE))
+            return self._store_standing(Standing(self.standing.epoch + 1, Mode.PAIRED))
+        return [AskWitness(WitnessRequest(self.name, self.standing.epoch, alone, order))]
 
-    def _said(self, now: int, verdict: Verdict) -> list[Action]:
+    def _witness_answered(self, now: int, verdict: WitnessRecord) -> list[Action]:
         """The witness's record is what counts; an old answer, of an epoch that is past, is not followed."""
         mine = self.standing
         if self.persisting is not None or verdict.epoch < mine.epoch:
             return []
         if verdict.holder == self.name:
             if mine.mode is not Mode.ALONE and verdict.epoch == mine.epoch + 1:
-                return self._persist(Standing(verdict.epoch, Mode.ALONE))
+                return self._store_standing(Standing(verdict.epoch, Mode.ALONE))
             return []
         if verdict.holder:
             if verdict.epoch > mine.epoch or mine.mode is Mode.ALONE:
-                return self._persist(Standing(verdict.epoch, Mode.FENCED))
+                return self._store_standing(Standing(verdict.epoch, Mode.FENCED))
             return []
         if verdict.epoch == mine.epoch + 1 and (
             mine.mode is Mode.ALONE or (mine.mode is Mode.FENCED and mine.synced)
         ):
-            return self._persist(Standing(verdict.epoch, Mode.PAIRED))
+            return self._store_standing(Standing(verdict.epoch, Mode.PAIRED))
         return []
 
     def _promote(self, now: int) -> list[Action]:
@@ -517,24 +545,24 @@
 class Witness:
     """The third, small process: one record, safe on disk before it is told."""
 
-    record: Verdict = Verdict(0, "")
+    record: WitnessRecord = WitnessRecord(0, "")
 
-    def asked(self, ask: Ask) -> Verdict:
+    def asked(self, ask: WitnessRequest) -> WitnessRecord:
         """What the record should be after a question; the caller makes it safe, sets `record`, then
         answers."""
         now = self.record
         if now.epoch == 0 and ask.epoch >= 1:  # its first question: the pair came together without it
-            now = Verdict(ask.epoch, "" if ask.alone else ask.name)
+            now = WitnessRecord(ask.epoch, "" if ask.alone else ask.name)
         if ask.alone:
             if not now.holder and ask.epoch == now.epoch:
-                return Verdict(now.epoch + 1, ask.name)
+                return WitnessRecord(now.epoch + 1, ask.name)
             if (
                 not now.holder and ask.epoch + 1 == now.epoch
             ):  # it missed that the pair is one again: it learns
                 return now
             if ask.order and now.holder != ask.name and ask.epoch == now.epoch:
-                return Verdict(now.epoch + 1, ask.name)
+                return WitnessRecord(now.epoch + 1, ask.name)
             return now
         if now.holder == ask.name and ask.epoch == now.epoch:
-            return Verdict(now.epoch + 1, "")
+            return WitnessRecord(now.epoch + 1, "")
         return now
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -15,35 +15,35 @@
 from loftroute.pair import fence, wire
 from loftroute.pair.fence import (
     Action,
-    Ask,
     AskWitness,
-    Bounds,
-    Came,
     Claim,
     Denied,
-    Drop,
     Event,
+    FlushRecords,
     Granted,
-    Keep,
     LinkDown,
     LinkUp,
+    MessageReceived,
     Mirror,
     Mode,
-    Persist,
-    Persisted,
+    PairLimits,
+    PairMember,
     Promote,
+    RecordStored,
     Refusal,
-    Said,
+    RequestEnded,
+    SendMessage,
     SendRecords,
-    Side,
+    SendRequested,
     Standing,
-    Stored,
-    SyncDown,
+    StandingStored,
+    StoreRecord,
+    StoreStanding,
     SyncEnd,
-    Tell,
     Tick,
-    Verdict,
-    Want,
+    WitnessAnswered,
+    WitnessRecord,
+    WitnessRequest,
 )
 from loftroute.protocol import ProtocolError
 from loftroute.protocol.catalog import Address
@@ -58,8 +58,8 @@
 
 SPACE = "pair"
 # Times patience: so long a side that could not store a record takes no connection, so that the other asks.
-SHY = 10
-UNSENT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
+STORE_FAILURE_BACKOFF = 10
+UNSENT_LIMIT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
 
 
 class Records(Protocol):
@@ -68,7 +68,7 @@
     def conflicts(self, name: str, record: bytes) -> bool: ...
     def mirror(self, name: str, record: bytes, claimed: bool, done: Done) -> None: ...
     def all(self) -> Iterator[tuple[str, bytes]]: ...
-    def unlinked(self) -> None: ...
+    def connection_lost(self) -> None: ...
 
 
 class Connection:
@@ -76,10 +76,10 @@
 
     def __init__(self, scheduler: Scheduler, stream: Stream, name: str, keys: Keys) -> None:
         self._scheduler, self._stream = scheduler, stream
-        self._name, self._keys, self._nonce = name, keys, os.urandom(wire.NONCE)
+        self._name, self._keys, self._nonce = name, keys, os.urandom(wire.NONCE_SIZE)
         self.peer = ""
-        self._out: wire.Proof | None = None
-        self._in: wire.Proof | None = None
+        self._out: wire.FrameAuthenticator | None = None
+        self._in: wire.FrameAuthenticator | None = None
 
     def greet(self, until: int) -> None:
         """Both say who they are; raises `Closed`, `Expired` or `ProtocolError`."""
@@ -89,8 +89,8 @@
             raise ProtocolError("greeted by itself")
         if number not in self._keys.known:
             raise ProtocolError(f"unknown key {number}")
-        self._out = wire.Proof(self._keys.known[self._keys.sealing], self._nonce, theirs, True)
-        self._in = wire.Proof(self._keys.known[number], self._nonce, theirs, False)
+        self._out = wire.FrameAuthenticator(self._keys.known[self._keys.sealing], self._nonce, theirs, True)
+        self._in = wire.FrameAuthenticator(self._keys.known[number], self._nonce, theirs, False)
 
     def send(self, message: object) -> None:
         assert self._out is not None
@@ -102,7 +102,7 @@
         while True:
             if self._stream.unsent:
                 self._stream.flush()
-                if self._stream.unsent > UNSENT:
+                if self._stream.unsent > UNSENT_LIMIT:
                     raise Closed("the other side does not read")
             try:
                 return self._in.open(
@@ -132,12 +132,12 @@
         peer: Address,
         witness: Address | None,
         ring: Keyring,
-        bounds: Bounds,
+        bounds: PairLimits,
     ) -> None:
         self._scheduler, self._store, self._name, self._peer_name = scheduler, store, name, peer_name
         self._peer_address, self._witness_address, self._ring, self._bounds = peer, witness, ring, bounds
         self._space = store.space(SPACE)
-        self.side = Side(
+        self.side = PairMember(
             name, bounds, witness is not None, self._standing(), down_since=scheduler.clock.now()
         )
         self.records: Records | None = None
@@ -145,16 +145,16 @@
         self.stand_down: Callable[[], None] = lambda: None
         self._waiting: dict[str, Callable[[str], None]] = {}  # claims: told "" or why not
         self._connection: Connection | None = None
-        self._linking = 0  # the connection's number
+        self._connection_number = 0  # the connection's number
         self._syncing: Task | None = None
-        self._held: deque[Action] = deque()
-        self._asks: deque[Ask] = deque(maxlen=4)
-        self._orders: list[Connection] = []
+        self._deferred: deque[Action] = deque()
+        self._asks: deque[WitnessRequest] = deque(maxlen=4)
+        self._operators: list[Connection] = []
         self.count: Counter[str] = Counter()
         self._listener = Listener(scheduler, listen, 16)
-        self._shy_until = 0
-        self._writes = 0  # mirrored records under way
-        self._syncs: list[int] = []
+        self._no_link_until = 0
+        self._writes_under_way = 0  # mirrored records under way
+        self._pending_flushes: list[int] = []
         scheduler.spawn("pair listener", self._listen)
         if name < peer_name:
             scheduler.spawn("pair dial", self._dial)
@@ -177,12 +177,12 @@
     def want(self, name: str, record: bytes, told: Callable[[str], None]) -> None:
         """This side's intent is safe: `told` is called once, with "" where it may be sent."""
         self._waiting[name] = told
-        self._handle(Want(name, record))
+        self._handle(SendRequested(name, record))
 
     def drop(self, name: str) -> None:
         """The request has ended; its claim need not be answered."""
         if self._waiting.pop(name, None):
-            self._handle(Drop(name))
+            self._handle(RequestEnded(name))
 
     def tell(self, name: str, record: bytes) -> None:
         """What became of an id, for the other side to know."""
@@ -208,18 +208,18 @@
     def _tick(self) -> None:
         self._ring.refresh()
         self._handle(Tick())
-        self._scheduler.at(self._scheduler.clock.now() + self._bounds.again // 2, self._tick)
+        self._scheduler.at(self._scheduler.clock.now() + self._bounds.retry_interval // 2, self._tick)
 
     def _handle(self, event: Event) -> None:
         for action in self.side.handle(self._scheduler.clock.now(), event):
             self._do(action)
 
     def _do(self, action: Action) -> None:
-        if isinstance(action, Tell):
+        if isinstance(action, SendMessage):
             if self._syncing is not None and not isinstance(
                 action.message, Claim | fence.ClaimAnswer | Mirror
             ):
-                self._held.append(action)  # behind the records that are on their way
+                self._deferred.append(action)  # behind the records that are on their way
             elif self._connection is not None:
                 self._connection.send(action.message)
         elif isinstance(action, Granted):
@@ -227,59 +227,63 @@
         elif isinstance(action, Denied):
             self.count["denied"] += 1
             self._answer(action.id, action.why)
-        elif isinstance(action, Keep):
-            self._keep(action)
-        elif isinstance(action, Persist):
-            self._persist(action.standing)
+        elif isinstance(action, StoreRecord):
+            self._store_record(action)
+        elif isinstance(action, StoreStanding):
+            self._store_standing(action.standing)
         elif isinstance(action, SendRecords):
             self._send_records()
-        elif isinstance(action, SyncDown):
-            self._sync_down()
+        elif isinstance(action, FlushRecords):
+            self._flush_records()
         elif isinstance(action, AskWitness):
-            if action.ask.alone and (self._store.stopped or self._scheduler.clock.now() < self._shy_until):
+            if action.ask.alone and (
+                self._store.stopped or self._scheduler.clock.now() < self._no_link_until
+            ):
                 return  # it could not write down that it is alone: the other is to ask
             self._asks.append(action.ask)
             if self._asker:
                 self._scheduler.wake(self._asker)
         elif isinstance(action, Refusal):
-            self._report(action.why)
+            self._report_to_operators(action.why)
 
     def _answer(self, name: str, why: str) -> None:
         told = self._waiting.pop(name, None)
         if told:
             told(why)
 
-    def _keep(self, action: Keep) -> None:
-        linking = self._linking
-        self._writes += 1
+    def _store_record(self, action: StoreRecord) -> None:
+        linking = self._connection_number
+        self._writes_under_way += 1
 
         def done(problem: StoreError | None) -> None:
-            self._writes -= 1
-            if problem is None and action.number and linking == self._linking:
-                self._handle(Stored(action.number))
-            if problem is not None and linking == self._linking and self._connection:
+            self._writes_under_way -= 1
+            if problem is None and action.number and linking == self._connection_number:
+                self._handle(RecordStored(action.number))
+            if problem is not None and linking == self._connection_number and self._connection:
                 logger.error("pair: a record of the other relay can't be stored: {}", problem)
-                self._shy_until = self._scheduler.clock.now() + SHY * self._bounds.patience
+                self._no_link_until = (
+                    self._scheduler.clock.now() + STORE_FAILURE_BACKOFF * self._bounds.heartbeat_timeout
+                )
                 self._connection.close()  # it is not to think that it is safe here
-                self._lost()
-            if not self._writes:
+                self._connection_lost()
+            if not self._writes_under_way:
                 self._all_written()
 
         assert self.records is not None
         self.records.mirror(action.id, action.record, bool(action.number), done)
 
-    def _sync_down(self) -> None:
-        self._syncs.append(self._linking)
-        if not self._writes:
+    def _flush_records(self) -> None:
+        self._pending_flushes.append(self._connection_number)
+        if not self._writes_under_way:
             self._all_written()
 
     def _all_written(self) -> None:
-        syncs, self._syncs = self._syncs, []
+        syncs, self._pending_flushes = self._pending_flushes, []
         for linking in syncs:
-            if linking == self._linking:
-                self._handle(Stored(0))
+            if linking == self._connection_number:
+                self._handle(RecordStored(0))
 
-    def _persist(self, standing: Standing) -> None:
+    def _store_standing(self, standing: Standing) -> None:
         raw = msgpack.packb((standing.epoch, standing.mode.value, standing.synced))
 
         def done(problem: StoreError | None) -> None:
@@ -293,8 +297,8 @@
                 ", in step" if standing.synced else "",
             )
             self.count[f"became {standing.mode.value}"] += 1
-            self._handle(Persisted(standing))
-            self._report(f"{standing.mode.value} in epoch {standing.epoch}")
+            self._handle(StandingStored(standing))
+            self._report_to_operators(f"{standing.mode.value} in epoch {standing.epoch}")
 
         try:
             self._store.submit([Op(PUT, self._space, b"standing", bytes(raw))], done)
@@ -305,7 +309,7 @@
 
     def _listen(self) -> None:
         while True:
-            stream = self._listener.accept(4096, wire.LIMIT + 64)
+            stream = self._listener.accept(4096, wire.FRAME_LIMIT + 64)
             if stream is None:
                 self._listener.wait()
                 continue
@@ -314,24 +318,24 @@
     def _dial(self) -> None:
         clock = self._scheduler.clock
         while True:
-            if self._connection is None and clock.now() >= self._shy_until:
+            if self._connection is None and clock.now() >= self._no_link_until:
                 try:
                     stream = Stream.dial(
                         self._scheduler,
                         self._peer_address,
-                        clock.now() + self._bounds.patience,
+                        clock.now() + self._bounds.heartbeat_timeout,
                         4096,
-                        wire.LIMIT + 64,
+                        wire.FRAME_LIMIT + 64,
                     )
                 except (Closed, Expired):
                     pass
                 else:
                     self._serve(stream, self._peer_name)
-            self._scheduler.sleep(min(self._bounds.again, 100 * MS))
+            self._scheduler.sleep(min(self._bounds.retry_interval, 100 * MS))
 
     def _serve(self, stream: Stream, wanted: str) -> None:
         connection = Connection(self._scheduler, stream, self._name, self._ring.keys)
-        clock, patience = self._scheduler.clock, self._bounds.patience
+        clock, patience = self._scheduler.clock, self._bounds.heartbeat_timeout
         mine = False
         try:
             connection.greet(clock.now() + patience)
@@ -339,21 +343,21 @@
                 raise ProtocolError(f"{connection.peer} answers, {wanted} was called")
             if connection.peer != self._peer_name:
                 return self._operator(connection)
-            if clock.now() < self._shy_until:
+            if clock.now() < self._no_link_until:
                 return
-            connection.send(wire.Alive())
+            connection.send(wire.Heartbeat())
             first = connection.receive(clock.now() + patience)  # proves that it has the key
-            if not isinstance(first, wire.Alive):
+            if not isinstance(first, wire.Heartbeat):
                 raise ProtocolError("no sign of life first")
             if self._connection is not None:
-                self._lost()
+                self._connection_lost()
             self._connection, mine = connection, True
-            self._linking += 1
+            self._connection_number += 1
             logger.info("pair: linked to {}", connection.peer)
             self._handle(LinkUp())
-            self._alive(connection)
+            self._send_heartbeats(connection)
             while self._connection is connection:
-                self._hear(connection.receive(clock.now() + patience))
+                self._handle_message(connection.receive(clock.now() + patience))
         except (Closed, Expired, ProtocolError) as problem:
             self.count["connections ended"] += 1
             if mine or isinstance(problem, ProtocolError):
@@ -361,28 +365,29 @@
         finally:
             connection.close()
             if mine and self._connection is connection:
-                self._lost()
+                self._connection_lost()
 
-    def _lost(self) -> None:
+    def _connection_lost(self) -> None:
         self._connection = None
-        self._linking += 1
-        self._held.clear()
+        self._connection_number += 1
+        self._deferred.clear()
         if self._syncing is not None:
             self._scheduler.cancel(self._syncing)
             self._syncing = None
         if self.records is not None:
-            self.records.unlinked()
+            self.records.connection_lost()
         self._handle(LinkDown())
 
-    def _alive(self, connection: Connection) -> None:
+    def _send_heartbeats(self, connection: Connection) -> None:
         if self._connection is connection:
-            connection.send(wire.Alive())
+            connection.send(wire.Heartbeat())
             self._scheduler.at(
-                self._scheduler.clock.now() + self._bounds.patience // 4, lambda: self._alive(connection)
+                self._scheduler.clock.now() + self._bounds.heartbeat_timeout // 4,
+                lambda: self._send_heartbeats(connection),
             )
 
-    def _hear(self, message: object) -> None:
-        if isinstance(message, wire.Alive):
+    def _handle_message(self, message: object) -> None:
+        if isinstance(message, wire.Heartbeat):
             return
         if not isinstance(message, fence.Message):
             raise ProtocolError("not for a relay of a pair")
@@ -391,32 +396,34 @@
             assert self.records is not None
             conflict = self.records.conflicts(message.id, message.record)
             self.count["conflicts"] += conflict
-        self._handle(Came(message, conflict))
+        self._handle(MessageReceived(message, conflict))
 
     def _send_records(self) -> None:
         """All that is known here, then the end of it; in steps, and only as fast as they are taken."""
         if self._syncing is not None:
             self._scheduler.cancel(self._syncing)
-        self._syncing = self._scheduler.spawn("pair records", partial(self._stream_records, self._linking))
+        self._syncing = self._scheduler.spawn(
+            "pair records", partial(self._stream_records, self._connection_number)
+        )
 
     def _stream_records(self, linking: int) -> None:
         assert self.records is not None
         sent = 0
         for name, record in self.records.all():
             connection = self._connection
-            if connection is None or linking != self._linking:
+            if connection is None or linking != self._connection_number:
                 return
             connection.send(Mirror(name, record))
             sent += 1
             if sent % 64 == 0:
                 self._scheduler.sleep(MS)
-                while connection._stream.unsent > UNSENT // 4 and linking == self._linking:
+                while connection._stream.unsent > UNSENT_LIMIT // 4 and linking == self._connection_number:
                     self._scheduler.sleep(5 * MS)
         self._syncing = None
         self.count["records sent"] += sent
-        if self._connection is not None and linking == self._linking:
+        if self._connection is not None and linking == self._connection_number:
             self._connection.send(SyncEnd())
-            held, self._held = self._held, deque()
+            held, self._deferred = self._deferred, deque()
             for action in held:
                 self._do(action)
 
@@ -433,23 +440,23 @@
             connection = None
             try:
                 stream = Stream.dial(
-                    self._scheduler, self._witness_address, clock.now() + self._bounds.patience
+                    self._scheduler, self._witness_address, clock.now() + self._bounds.heartbeat_timeout
                 )
                 connection = Connection(self._scheduler, stream, self._name, self._ring.keys)
-                connection.greet(clock.now() + self._bounds.patience)
+                connection.greet(clock.now() + self._bounds.heartbeat_timeout)
                 connection.send(ask)
-                verdict = connection.receive(clock.now() + self._bounds.patience)
-                if isinstance(verdict, Verdict):
+                verdict = connection.receive(clock.now() + self._bounds.heartbeat_timeout)
+                if isinstance(verdict, WitnessRecord):
                     self.count["witness asked"] += 1
-                    self._handle(Said(verdict))
+                    self._handle(WitnessAnswered(verdict))
                     if ask.order and verdict.holder != self._name:
-                        self._report(
+                        self._report_to_operators(
                             f"the witness gave epoch {verdict.epoch} to {verdict.holder or 'the pair'}"
                         )
             except (Closed, Expired, ProtocolError) as problem:
                 self.count["witness not reached"] += 1
                 if ask.order:
-                    self._report(f"the witness is not reached: {problem}")
+                    self._report_to_operators(f"the witness is not reached: {problem}")
             finally:
                 if connection:
                     connection.close()
@@ -458,8 +465,8 @@
 
     def _operator(self, connection: Connection) -> None:
         """One question over a connection of its own, from whoever has the key."""
-        message = connection.receive(self._scheduler.clock.now() + self._bounds.patience)
-        if isinstance(message, wire.Status):
+        message = connection.receive(self._scheduler.clock.now() + self._bounds.heartbeat_timeout)
+        if isinstance(message, wire.StatusRequest):
             standing = self.side.standing
             text = msgpack.packb(
                 {
@@ -472,21 +479,21 @@
                 }
             )
             connection.send(wire.Report(text.hex()))
-        elif isinstance(message, wire.StandDown):
+        elif isinstance(message, wire.FailbackRequest):
             self.stand_down()
             connection.send(wire.Report("what is open is finished, then the addresses are handed on"))
-        elif isinstance(message, wire.Order):
-            self._orders.append(connection)
+        elif isinstance(message, wire.PromoteRequest):
+            self._operators.append(connection)
             self._handle(Promote())
-            until = self._scheduler.clock.now() + 3 * self._bounds.patience
-            while connection in self._orders and self._scheduler.clock.now() < until:
+            until = self._scheduler.clock.now() + 3 * self._bounds.heartbeat_timeout
+            while connection in self._operators and self._scheduler.clock.now() < until:
                 self._scheduler.sleep(5 * MS)
-            if connection in self._orders:
-                self._orders.remove(connection)
+            if connection in self._operators:
+                self._operators.remove(connection)
                 connection.send(wire.Report("no answer in time; see the log"))
         self._scheduler.sleep(20 * MS)
 
-    def _report(self, text: str) -> None:
-        orders, self._orders = self._orders, []
+    def _report_to_operators(self, text: str) -> None:
+        orders, self._operators = self._operators, []
         for connection in orders:
             connection.send(wire.Report(text))
--- a/loftroute/pair/wire.py
+++ b/loftroute/pair/wire.py
@@ -13,7 +13,6 @@
 import msgpack
 
 from loftroute.pair.fence import (
-    Ask,
     Claim,
     ClaimAnswer,
     Hello,
@@ -23,28 +22,29 @@
     Standing,
     Synced,
     SyncEnd,
-    Verdict,
+    WitnessRecord,
+    WitnessRequest,
 )
 from loftroute.protocol import NeedMore, ProtocolError
 
 LENGTH = struct.Struct("!I")
-PROOF, NONCE = 16, 16
-LIMIT = 1 << 20  # bytes of a frame
+PROOF_SIZE, NONCE_SIZE = 16, 16
+FRAME_LIMIT = 1 << 20  # bytes of a frame
 
 
-class Alive:
+class Heartbeat:
     """A sign of life."""
 
 
-class Status:
+class StatusRequest:
     """An operator asks how it stands; answered by `Report`."""
 
 
-class Order:
+class PromoteRequest:
     """An operator orders this side to go on alone; answered by `Report`."""
 
 
-class StandDown:
+class FailbackRequest:
     """An operator has this side hand its addresses on; answered by `Report`."""
 
 
@@ -56,7 +56,7 @@
 
 
 KINDS = {
-    0: Alive,
+    0: Heartbeat,
     1: Hello,
     2: Claim,
     3: ClaimAnswer,
@@ -64,11 +64,11 @@
     5: SyncEnd,
     6: Synced,
     7: Rejoin,
-    8: Ask,
-    9: Verdict,
-    10: Status,
-    11: Order,
-    12: StandDown,
+    8: WitnessRequest,
+    9: WitnessRecord,
+    10: StatusRequest,
+    11: PromoteRequest,
+    12: FailbackRequest,
     13: Report,
 }
 NUMBERS = {kind: number for number, kind in KINDS.items()}
@@ -77,8 +77,8 @@
     ClaimAnswer: (int, bool),
     Mirror: (str, bytes),
     Rejoin: (int,),
-    Ask: (str, int, bool, bool),
-    Verdict: (int, str),
+    WitnessRequest: (str, int, bool, bool),
+    WitnessRecord: (int, str),
     Report: (str,),
 }
 
@@ -119,7 +119,7 @@
     if end - start < LENGTH.size:
         raise NeedMore(LENGTH.size)
     size = LENGTH.unpack_from(data, start)[0]
-    if size > LIMIT:
+    if size > FRAME_LIMIT:
         raise ProtocolError("frame too long")
     at = start + LENGTH.size
     if end < at + size:
@@ -140,12 +140,12 @@
     except (ValueError, TypeError, msgpack.UnpackException) as problem:
         raise ProtocolError("not a greeting") from problem
     right = isinstance(name, str) and isinstance(nonce, bytes) and isinstance(key, int)
-    if not right or len(nonce) != NONCE or len(name) > 64:
+    if not right or len(nonce) != NONCE_SIZE or len(name) > 64:
         raise ProtocolError("not a greeting")
     return name, nonce, key
 
 
-class Proof:
+class FrameAuthenticator:
     """One direction of one connection."""
 
     def __init__(self, key: bytes, mine: bytes, theirs: bytes, outward: bool) -> None:
@@ -155,14 +155,14 @@
 
     def seal(self, message: object) -> bytes:
         raw = pack(message)
-        return LENGTH.pack(len(raw) + PROOF) + raw + self._of(raw)
+        return LENGTH.pack(len(raw) + PROOF_SIZE) + raw + self._of(raw)
 
     def open(self, raw: bytes) -> object:
         """The message of a frame; `ProtocolError` where the proof is wrong."""
-        if len(raw) < PROOF or not hmac.compare_digest(self._of(raw[:-PROOF]), raw[-PROOF:]):
+        if len(raw) < PROOF_SIZE or not hmac.compare_digest(self._of(raw[:-PROOF_SIZE]), raw[-PROOF_SIZE:]):
             raise ProtocolError("wrong proof")
-        return unpack(raw[:-PROOF])
+        return unpack(raw[:-PROOF_SIZE])
 
     def _of(self, raw: bytes) -> bytes:
         self._number += 1
-        return hmac.digest(self._key, self._number.to_bytes(8, "big") + raw, "sha256")[:PROOF]
+        return hmac.digest(self._key, self._number.to_bytes(8, "big") + raw, "sha256")[:PROOF_SIZE]
--- a/loftroute/pair/witness.py
+++ b/loftroute/pair/witness.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from loftroute.pair import wire
-from loftroute.pair.fence import Ask, Verdict, Witness
+from loftroute.pair.fence import Witness, WitnessRecord, WitnessRequest
 from loftroute.pair.link import Connection
 from loftroute.protocol import ProtocolError
 from loftroute.protocol.catalog import Address
@@ -21,7 +21,7 @@
 from loftroute.vrrp.keyring import Keyring
 
 LIMITS = Limits(segment=64 << 10, total=4 << 20, reserve=64 << 10, checkpoint_keys=1 << 30)
-WAIT = 2_000 * MS
+REQUEST_TIMEOUT = 2_000 * MS
 SPACE = "witness"
 
 
@@ -41,13 +41,13 @@
         self._engine = Engine(directory, LIMITS, store_id)
         self._space = self._engine.space(SPACE)
         raw = self._engine.get(self._space, b"record", 0)
-        self.witness = Witness(Verdict(*msgpack.unpackb(raw)) if raw else Verdict(0, ""))
+        self.witness = Witness(WitnessRecord(*msgpack.unpackb(raw)) if raw else WitnessRecord(0, ""))
         self._listener = Listener(scheduler, listen, 16)
         scheduler.spawn("witness", self._run)
 
     def _run(self) -> None:
         while True:
-            stream = self._listener.accept(4096, wire.LIMIT)
+            stream = self._listener.accept(4096, wire.FRAME_LIMIT)
             if stream is None:
                 self._listener.wait()
             else:
@@ -57,9 +57,13 @@
         self._ring.refresh()
         connection = Connection(self._scheduler, stream, "witness", self._ring.keys)
         try:
-            connection.greet(self._scheduler.clock.now() + WAIT)
-            ask = connection.receive(self._scheduler.clock.now() + WAIT)
-            if not isinstance(ask, Ask) or ask.name != connection.peer or ask.name not in self._names:
+            connection.greet(self._scheduler.clock.now() + REQUEST_TIMEOUT)
+            ask = connection.receive(self._scheduler.clock.now() + REQUEST_TIMEOUT)
+            if (
+                not isinstance(ask, WitnessRequest)
+                or ask.name != connection.peer
+                or ask.name not in self._names
+            ):
                 raise ProtocolError("not a question of this pair")
             connection.send(self.asked(ask))
             self._scheduler.sleep(20 * MS)
@@ -68,7 +72,7 @@
         finally:
             connection.close()
 
-    def asked(self, ask: Ask) -> Verdict:
+    def asked(self, ask: WitnessRequest) -> WitnessRecord:
         """The record after a question, safe; raises `StoreError` where it can't be made so: nothing is told
         then."""
         verdict = self.witness.asked(ask)
--- a/loftroute/recall/attach.py
+++ b/loftroute/recall/attach.py
@@ -1,6 +1,6 @@
 """Puts store and recall beside a relay, as the product's settings say."""
 
-from loftroute.recall.decisions import Place, Rules
+from loftroute.recall.decisions import Place, RecallLimits
 from loftroute.recall.keeper import Keeper
 from loftroute.relay.lifecycle import Relay
 from loftroute.relay.units import Units
@@ -11,7 +11,7 @@
 from loftroute.store.plan import Limits, OnDamage, OnSyncError
 
 
-class Listed:
+class ServerPlaces:
     """Where units stand, by the list."""
 
     def __init__(self, units: Units) -> None:
@@ -75,7 +75,7 @@
             f"{product.path}: recall.keep_ms: shorter than the longest deadline and window of a "
             f"class, {longest // 1_000_000} ms"
         )
-    rules = Rules(
+    rules = RecallLimits(
         product.span("recall.clock_step_ms"),
         product.whole("recall.max_requests"),
         product.whole("recall.max_bytes"),
@@ -90,7 +90,7 @@
         keep,
         product.whole("recall.joined"),
         product.span("recall.come_again_ms"),
-        Listed(relay.units),
+        ServerPlaces(relay.units),
     )
     relay.module.recall = keeper
     relay.parts.append(keeper)
--- a/loftroute/recall/decisions.py
+++ b/loftroute/recall/decisions.py
@@ -15,19 +15,19 @@
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
-class Fate(IntEnum):
+class RunState(IntEnum):
     """What is known of a request."""
 
-    NEVER = 0  # no attempt of it ran
-    MAY = 1  # an attempt went out, or was about to, and what came of it is not known
+    NEVER_RAN = 0  # no attempt of it ran
+    MAY_HAVE_RUN = 1  # an attempt went out, or was about to, and what came of it is not known
     RAN = 2  # it ran, and its value is kept
 
 
-class Do(Enum):
+class CallAction(Enum):
     """What a call does."""
 
     SEND = "send"
-    AGAIN = "again"  # send, but only where its repeat is dropped
+    REPEAT = "again"  # send, but only where its repeat is dropped
     ANSWER = "answer"
     FAIL = "fail"
     REFUSE = "refuse"
@@ -43,10 +43,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Memory:
+class RequestRecord:
     """The record of one request."""
 
-    fate: Fate
+    run_state: RunState
     cls: str  # the class's name: numbers may change with the settings
     key: str
     attempts: int  # that were sent, or were about to be
@@ -58,16 +58,16 @@
         first = (self.first.wall, self.first.up, self.first.boot) if self.first else None
         place = (self.place.zone, self.place.cell, self.place.server) if self.place else None
         return bytes(
-            msgpack.packb((int(self.fate), self.cls, self.key, self.attempts, first, place, self.value))
+            msgpack.packb((int(self.run_state), self.cls, self.key, self.attempts, first, place, self.value))
         )
 
 
-def unpack(raw: bytes) -> Memory:
+def unpack(raw: bytes) -> RequestRecord:
     """A record from its bytes; `ValueError` where they are not one."""
     try:
         fate, cls, key, attempts, first, place, value = msgpack.unpackb(raw)
-        return Memory(
-            Fate(fate),
+        return RequestRecord(
+            RunState(fate),
             cls,
             key,
             attempts,
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class RecallLimits:
     """Figures of the settings; times in nanoseconds."""
 
     clock_step: int
@@ -94,13 +94,13 @@
 class Decision:
     """What a call does; `left` bounds its time (nanoseconds), `memory` is what is known."""
 
-    do: Do
-    memory: Memory | None = None
+    do: CallAction
+    memory: RequestRecord | None = None
     left: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Room:
+class RecallUsage:
     """What the records take up, and whether more can be written."""
 
     requests: int
@@ -109,39 +109,46 @@
 
 
 def decide(
-    call: RequestClass, key: str, known: Memory | None, now: Stamp, rules: Rules, room: Room
+    call: RequestClass,
+    key: str,
+    known: RequestRecord | None,
+    now: Stamp,
+    rules: RecallLimits,
+    room: RecallUsage,
 ) -> Decision:
     """What a call with an id does, given what is known of that id."""
     if known is not None:
-        if known.fate is Fate.RAN:
+        if known.run_state is RunState.RAN:
             same = known.cls == call.name and known.key == key
-            return Decision(Do.ANSWER if same else Do.FAIL, known)
-        if known.fate is Fate.MAY:
+            return Decision(CallAction.ANSWER if same else CallAction.FAIL, known)
+        if known.run_state is RunState.MAY_HAVE_RUN:
             return _repeat(call, key, known, now, rules, room)
         if known.cls != call.name or known.key != key:
-            return Decision(Do.FAIL, known)
+            return Decision(CallAction.FAIL, known)
     if not room.writable or (known is None and full(room, rules)):
-        return Decision(Do.REFUSE, known)
-    return Decision(Do.SEND, known)
+        return Decision(CallAction.REFUSE, known)
+    return Decision(CallAction.SEND, known)
 
 
-def full(room: Room, rules: Rules) -> bool:
+def full(room: RecallUsage, rules: RecallLimits) -> bool:
     """A forgotten record would break a promise and a refusal does not: at the bound new requests are
     refused."""
     return room.requests >= rules.max_requests or room.bytes >= rules.max_bytes
 
 
-def _repeat(call: RequestClass, key: str, known: Memory, now: Stamp, rules: Rules, room: Room) -> Decision:
+def _repeat(
+    call: RequestClass, key: str, known: RequestRecord, now: Stamp, rules: RecallLimits, room: RecallUsage
+) -> Decision:
     """It may have run. Only units that drop its repeats may get it, while they surely remember it."""
     if call.effect is not Effect.KEYED or known.cls != call.name or known.key != key:
-        return Decision(Do.FAIL, known)
-    left = remains(call, known, now, rules)
+        return Decision(CallAction.FAIL, known)
+    left = repeat_time_left(call, known, now, rules)
     if left <= 0 or known.attempts >= rules.max_attempts or not room.writable:
-        return Decision(Do.FAIL, known)
-    return Decision(Do.AGAIN, known, left)
+        return Decision(CallAction.FAIL, known)
+    return Decision(CallAction.REPEAT, known, left)
 
 
-def remains(call: RequestClass, known: Memory, now: Stamp, rules: Rules) -> int:
+def repeat_time_left(call: RequestClass, known: RequestRecord, now: Stamp, rules: RecallLimits) -> int:
     """For how long the units surely still drop a repeat (nanoseconds), 0 or less where they may not."""
     if known.first is None or known.place is None:
         return 0
@@ -149,11 +156,13 @@
     return 0 if gone is None else call.window - rules.spare - gone
 
 
-def allowed(call: RequestClass, known: Memory, target: Place, now: Stamp, rules: Rules) -> bool:
+def may_repeat_at(
+    call: RequestClass, known: RequestRecord, target: Place, now: Stamp, rules: RecallLimits
+) -> bool:
     """Whether an attempt may go to a unit, after one that may have run elsewhere."""
-    if known.fate is not Fate.MAY or known.place is None:
-        return known.fate is Fate.NEVER
-    if call.effect is not Effect.KEYED or remains(call, known, now, rules) <= 0:
+    if known.run_state is not RunState.MAY_HAVE_RUN or known.place is None:
+        return known.run_state is RunState.NEVER_RAN
+    if call.effect is not Effect.KEYED or repeat_time_left(call, known, now, rules) <= 0:
         return False
     if call.group is Group.ALL:
         return True
@@ -162,7 +171,7 @@
     return (target.zone, target.cell) == (known.place.zone, known.place.cell)
 
 
-def newer(told: Memory, known: Memory | None) -> bool:
+def is_newer(told: RequestRecord, known: RequestRecord | None) -> bool:
     """Whether a record of the other relay says more than what is known here.
 
     Attempts of an id are counted over both relays, since each stores the other's claims. Of the same attempt
@@ -170,30 +179,38 @@
     """
     if known is None:
         return True
-    if known.fate is Fate.RAN:
+    if known.run_state is RunState.RAN:
         return False
-    return (told.fate is Fate.RAN, told.attempts, told.fate is Fate.NEVER) > (
+    return (told.run_state is RunState.RAN, told.attempts, told.run_state is RunState.NEVER_RAN) > (
         False,
         known.attempts,
-        known.fate is Fate.NEVER,
+        known.run_state is RunState.NEVER_RAN,
     )
 
 
-def intent(known: Memory | None, cls: str, key: str, target: Place, now: Stamp) -> Memory:
+def with_intent(known: RequestRecord | None, cls: str, key: str, target: Place, now: Stamp) -> RequestRecord:
     """The record that must be safe before an attempt's first byte: from now on it may have run."""
     if known is None:
-        return Memory(Fate.MAY, cls, key, 1, now, target)
-    first, place = (known.first, known.place) if known.fate is Fate.MAY and known.first else (now, target)
-    return replace(known, fate=Fate.MAY, attempts=known.attempts + 1, first=first, place=place)
+        return RequestRecord(RunState.MAY_HAVE_RUN, cls, key, 1, now, target)
+    first, place = (
+        (known.first, known.place)
+        if known.run_state is RunState.MAY_HAVE_RUN and known.first
+        else (now, target)
+    )
+    return replace(
+        known, run_state=RunState.MAY_HAVE_RUN, attempts=known.attempts + 1, first=first, place=place
+    )
 
 
-def outcome(known: Memory, before: Memory | None, result: Outcome, value: bytes | None) -> Memory:
+def with_outcome(
+    known: RequestRecord, before: RequestRecord | None, result: Outcome, value: bytes | None
+) -> RequestRecord:
     """The record after an attempt's end. `before` is what was known before its intent: an attempt that never
     ran takes its intent back, and nothing that came earlier."""
     if result is Outcome.OK and value is not None:
-        return replace(known, fate=Fate.RAN, value=value)
+        return replace(known, run_state=RunState.RAN, value=value)
     if result in NEVER_RAN:
-        if before is not None and before.fate is Fate.MAY:
+        if before is not None and before.run_state is RunState.MAY_HAVE_RUN:
             return replace(before, attempts=known.attempts)
-        return replace(known, fate=Fate.NEVER, first=None, place=None)
+        return replace(known, run_state=RunState.NEVER_RAN, first=None, place=None)
     return known
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -16,7 +16,15 @@
 from loftroute.decision import interface as i
 from loftroute.protocol.jobs import Answer, Job
 from loftroute.recall import decisions
-from loftroute.recall.decisions import Decision, Do, Fate, Memory, Place, Room, Rules
+from loftroute.recall.decisions import (
+    CallAction,
+    Decision,
+    Place,
+    RecallLimits,
+    RecallUsage,
+    RequestRecord,
+    RunState,
+)
 from loftroute.relay.module import Module, Ticket
 from loftroute.relay.units import Attempt
 from loftroute.runtime.clock import stamp
@@ -27,10 +35,10 @@
 from loftroute.store.writer import Done
 
 SPACE = "recall"
-ELSEWHERE = 10_000  # ids open at the other relay that calls may wait for here
+OPEN_AT_PEER_LIMIT = 10_000  # ids open at the other relay that calls may wait for here
 
 
-class Peered(Protocol):
+class PeerRelay(Protocol):
     """The other relay of a pair (`loftroute/pair/`); only where there is one."""
 
     @property
@@ -40,14 +48,14 @@
     def tell(self, name: str, record: bytes) -> None: ...
 
 
-class Listed(Protocol):
+class ServerPlaces(Protocol):
     """Where a unit stands, as the list has it."""
 
     def place(self, server: int) -> Place: ...
 
 
 @dataclass(slots=True, eq=False)
-class Joined:
+class Waiter:
     """A further call with the id of a request that is still open; it ends at its own deadline."""
 
     job: Job
@@ -57,25 +65,25 @@
 
 
 @dataclass(slots=True, eq=False)
-class Live:
+class OpenRequest:
     """A request that this process has taken and not yet done with."""
 
     job: Job
-    known: Memory | None  # the newest record, safe or not
-    told: bool = False  # the final answer was given, or nobody waits for one
-    out: int = 0  # attempts whose end has not come
-    before: dict[int, Memory | None] = field(
+    known: RequestRecord | None  # the newest record, safe or not
+    answered: bool = False  # the final answer was given, or nobody waits for one
+    attempts_open: int = 0
+    before: dict[int, RequestRecord | None] = field(
         default_factory=dict
     )  # what was known before an attempt's intent
-    joined: list[Joined] = field(default_factory=list)
+    joined: list[Waiter] = field(default_factory=list)
 
 
-class Answering:
+class SharedTicket:
     """The ticket of a request: the first call's, and that of all that joined it."""
 
     __slots__ = ("_keeper", "_live", "_ticket")
 
-    def __init__(self, keeper: "Keeper", live: Live, ticket: Ticket) -> None:
+    def __init__(self, keeper: "Keeper", live: OpenRequest, ticket: Ticket) -> None:
         self._keeper, self._live, self._ticket = keeper, live, ticket
 
     def served(self, answer: Answer) -> None:
@@ -103,22 +111,24 @@
         scheduler: Scheduler,
         module: Module,
         store: Store,
-        rules: Rules,
+        rules: RecallLimits,
         keep: int,
         joined: int,
         come_again: int,
-        listed: Listed,
+        listed: ServerPlaces,
     ) -> None:
         """`keep` and `come_again` in nanoseconds; `joined` bounds the calls that wait for one request."""
         self._config, self._scheduler, self._module, self._store = config, scheduler, module, store
         self._rules, self._keep, self._joined, self._listed = rules, keep, joined, listed
         self._come_again = come_again // MS
         self._space = store.space(SPACE)
-        self._live: dict[str, Live] = {}
-        self._unsafe: dict[str, tuple[Memory, int]] = {}  # written, not yet safe: the newest, and how many
-        self.pair: Peered | None = None
-        self._elsewhere: dict[
-            str, list[Joined]
+        self._live: dict[str, OpenRequest] = {}
+        self._unsynced: dict[
+            str, tuple[RequestRecord, int]
+        ] = {}  # written, not yet safe: the newest, and how many
+        self.pair: PeerRelay | None = None
+        self._open_at_peer: dict[
+            str, list[Waiter]
         ] = {}  # ids open at the other relay, and who waits for them here
         self.count: Counter[str] = Counter()
 
@@ -140,7 +150,7 @@
         live = self._live.get(job.id)
         if live is not None:
             return self._join(live, job, ticket, waited)
-        elsewhere = self._elsewhere.get(job.id)
+        elsewhere = self._open_at_peer.get(job.id)
         if elsewhere is not None and len(elsewhere) < self._joined:
             return self._wait_elsewhere(elsewhere, job, ticket, waited)
         try:
@@ -155,38 +165,38 @@
 
     def _do(self, decision: Decision, job: Job, ticket: Ticket, waited: int) -> None:
         self.count[decision.do.value] += 1
-        if decision.do is Do.ANSWER and decision.memory:
+        if decision.do is CallAction.ANSWER and decision.memory:
             return ticket.served(Answer(i.Outcome.OK, memoryview(decision.memory.value)))
-        if decision.do is Do.FAIL:
+        if decision.do is CallAction.FAIL:
             return ticket.failed()
-        if decision.do is Do.REFUSE:
+        if decision.do is CallAction.REFUSE:
             return ticket.refused(self._come_again)
         if decision.left is not None:
             job.left = min(job.left, decision.left)
-        live = self._live[job.id] = Live(job, decision.memory)
-        self._module.admit(job, Answering(self, live, ticket), waited)
+        live = self._live[job.id] = OpenRequest(job, decision.memory)
+        self._module.admit(job, SharedTicket(self, live, ticket), waited)
 
-    def _known(self, name: str) -> Memory | None:
-        if name in self._unsafe:
-            return self._unsafe[name][0]
+    def _known(self, name: str) -> RequestRecord | None:
+        if name in self._unsynced:
+            return self._unsynced[name][0]
         raw = self._store.get(self._space, name.encode())
         return decisions.unpack(raw) if raw is not None else None
 
-    def _room(self) -> Room:
+    def _room(self) -> RecallUsage:
         requests, size = self._store.usage(self._space)
         able = not self._store.stopped and (self.pair is None or self.pair.may_send)
-        return Room(requests + len(self._live), size, able)
+        return RecallUsage(requests + len(self._live), size, able)
 
-    def _wait_elsewhere(self, waiting: list[Joined], job: Job, ticket: Ticket, waited: int) -> None:
+    def _wait_elsewhere(self, waiting: list[Waiter], job: Job, ticket: Ticket, waited: int) -> None:
         """The other relay has it open: its outcome comes here, or the call ends at its own deadline."""
         self.count["joined elsewhere"] += 1
         self._wait(waiting, job, ticket, waited)
 
-    def _wait(self, waiting: list[Joined], job: Job, ticket: Ticket, waited: int) -> None:
+    def _wait(self, waiting: list[Waiter], job: Job, ticket: Ticket, waited: int) -> None:
         """Stand among those that wait for one answer, to the call's own deadline at the latest."""
         left = min(job.left, self._config.settings.classes[job.cls].deadline) - waited
         deadline = self._scheduler.clock.now() + max(left - self._config.transport.spare, MS)
-        one = Joined(job, ticket, deadline)
+        one = Waiter(job, ticket, deadline)
 
         def late() -> None:
             if one in waiting:
@@ -196,24 +206,24 @@
         one.timer = self._scheduler.at(deadline, late)
         waiting.append(one)
 
-    def _come_back(self, name: str) -> None:
+    def _retry_waiters(self, name: str) -> None:
         """What the other relay had open is open no more: the record has the answer, as far as there is
         one."""
-        for one in self._elsewhere.pop(name, []):
+        for one in self._open_at_peer.pop(name, []):
             self._call_anew(one)
 
-    def unlinked(self) -> None:
+    def connection_lost(self) -> None:
         """No outcome will come: what is known has to do."""
-        for name in list(self._elsewhere):
-            self._come_back(name)
+        for name in list(self._open_at_peer):
+            self._retry_waiters(name)
 
-    def _call_anew(self, waiting: Joined) -> None:
+    def _call_anew(self, waiting: Waiter) -> None:
         if waiting.timer:
             waiting.timer.cancel()
         waiting.job.left = max(waiting.deadline - self._scheduler.clock.now(), MS)
         self.asked(waiting.job, waiting.ticket, 0)
 
-    def _join(self, live: Live, job: Job, ticket: Ticket, waited: int) -> None:
+    def _join(self, live: OpenRequest, job: Job, ticket: Ticket, waited: int) -> None:
         """It waits for the one answer, or fails at its own deadline."""
         if len(live.joined) >= self._joined or job.cls != live.job.cls or job.key != live.job.key:
             self.count["not joined"] += 1
@@ -223,11 +233,11 @@
 
     # ---- answers
 
-    def final(self, live: Live) -> None:
-        live.told = True
+    def final(self, live: OpenRequest) -> None:
+        live.answered = True
         self._done(live)
 
-    def tell(self, live: Live, how: Callable[[Ticket], None]) -> None:
+    def tell(self, live: OpenRequest, how: Callable[[Ticket], None]) -> None:
         """Give the answer to all that joined."""
         joined, live.joined = live.joined, []
         for waiting in joined:
@@ -239,26 +249,26 @@
         """The client has left, or one that joined. What was sent goes on, and its outcome is kept."""
         live = self._live.get(job.id)
         if live is None:
-            elsewhere = self._elsewhere.get(job.id, [])
+            elsewhere = self._open_at_peer.get(job.id, [])
             elsewhere[:] = [one for one in elsewhere if one.job is not job]
             return
         if live.job is job:
-            live.told = True
+            live.answered = True
             return self._done(live)
         for waiting in [one for one in live.joined if one.job is job]:
             live.joined.remove(waiting)
             if waiting.timer:
                 waiting.timer.cancel()
 
-    def _done(self, live: Live) -> None:
+    def _done(self, live: OpenRequest) -> None:
         """Nothing of it is open here any more; the record says the rest."""
-        if not live.told or live.out or self._live.get(live.job.id) is not live:
+        if not live.answered or live.attempts_open or self._live.get(live.job.id) is not live:
             return
         del self._live[live.job.id]
         if live.joined:  # the first client left, and its attempt has ended
             self._scheduler.at(0, lambda: self._again(live))
 
-    def _again(self, live: Live) -> None:
+    def _again(self, live: OpenRequest) -> None:
         """Those that joined a request whose client left call anew: the record has the answer."""
         joined, live.joined = live.joined, []
         for waiting in joined:
@@ -274,42 +284,48 @@
         assert live is not None
         call, now = self._config.settings.classes[job.cls], stamp(self._store.boot)
         target, known = self._listed.place(attempt.server), live.known
-        live.out += 1
+        live.attempts_open += 1
         live.before[attempt.number] = known
-        if known and known.fate is Fate.MAY and not decisions.allowed(call, known, target, now, self._rules):
+        if (
+            known
+            and known.run_state is RunState.MAY_HAVE_RUN
+            and not decisions.may_repeat_at(call, known, target, now, self._rules)
+        ):
             self.count["kept from other groups"] += 1
             return attempt.finish(Answer(i.Outcome.MOOT))
-        live.known = decisions.intent(known, call.name, job.key, target, now)
-        self._write(job.id, live.known, lambda problem: self._safe(live, attempt, problem))
+        live.known = decisions.with_intent(known, call.name, job.key, target, now)
+        self._write(job.id, live.known, lambda problem: self._intent_durable(live, attempt, problem))
 
-    def _safe(self, live: Live, attempt: Attempt, problem: StoreError | None) -> None:
+    def _intent_durable(self, live: OpenRequest, attempt: Attempt, problem: StoreError | None) -> None:
         if problem is None and self.pair is not None and not attempt.ended and live.known is not None:
-            self.pair.want(live.job.id, live.known.pack(), lambda why: self._told(live, attempt, why))
-            self._scheduler.at(attempt.until, lambda: self._late(attempt))
+            self.pair.want(
+                live.job.id, live.known.pack(), lambda why: self._claim_decided(live, attempt, why)
+            )
+            self._scheduler.at(attempt.until, lambda: self._claim_expired(attempt))
         elif problem is None:
             self._module.go(attempt)
         else:
-            self._not_safe(live, attempt)
+            self._give_back(live, attempt)
 
-    def _told(self, live: Live, attempt: Attempt, why: str) -> None:
+    def _claim_decided(self, live: OpenRequest, attempt: Attempt, why: str) -> None:
         """The other relay has the intent too, or this one may go on alone; or neither."""
         if not why:
             return self._module.go(attempt)
         self.count["kept back"] += 1
-        self._not_safe(live, attempt)
+        self._give_back(live, attempt)
 
-    def _late(self, attempt: Attempt) -> None:
+    def _claim_expired(self, attempt: Attempt) -> None:
         """Every wait has an end: a claim without an answer is given up with its attempt."""
         live = self._live.get(attempt.job.id)
         if self.pair is not None and not attempt.written and live is not None and live.job is attempt.job:
             self.pair.drop(attempt.job.id)
             if not attempt.ended and attempt.connection is None and attempt.number in live.before:
-                self._not_safe(live, attempt)
+                self._give_back(live, attempt)
 
-    def _not_safe(self, live: Live, attempt: Attempt) -> None:
+    def _give_back(self, live: OpenRequest, attempt: Attempt) -> None:
         self.count["intents not safe"] += 1
         before = live.before.get(attempt.number)
-        self._module.withdraw(live.job, before is None or before.fate is not Fate.MAY)
+        self._module.withdraw(live.job, before is None or before.run_state is not RunState.MAY_HAVE_RUN)
         if not attempt.ended:
             attempt.finish(Answer(i.Outcome.MOOT))
 
@@ -320,28 +336,28 @@
         if live is None or live.job is not attempt.job or attempt.number not in live.before:
             return
         before = live.before.pop(attempt.number)
-        live.out -= 1
+        live.attempts_open -= 1
         if live.known is not None:
             value = bytes(result.value) if result.value is not None else None
-            after = decisions.outcome(live.known, before, result.outcome, value)
+            after = decisions.with_outcome(live.known, before, result.outcome, value)
             if after is not live.known:
                 live.known = after
                 self._write(live.job.id, after, lambda _: None)
             if self.pair is not None:
                 self.pair.tell(live.job.id, after.pack())
-        if live.told:
+        if live.answered:
             self._done(live)
 
-    def _write(self, name: str, memory: Memory, done: Done) -> None:
+    def _write(self, name: str, memory: RequestRecord, done: Done) -> None:
         """Write a record down; until it is safe, calls go by it all the same."""
-        waiting = self._unsafe.get(name, (memory, 0))[1]
+        waiting = self._unsynced.get(name, (memory, 0))[1]
 
         def ended(problem: StoreError | None) -> None:
-            newest, left = self._unsafe[name]
+            newest, left = self._unsynced[name]
             if left > 1:
-                self._unsafe[name] = (newest, left - 1)
+                self._unsynced[name] = (newest, left - 1)
             else:
-                del self._unsafe[name]
+                del self._unsynced[name]
             done(problem)
 
         op = Op(PUT, self._space, name.encode(), memory.pack(), self._store.now + self._keep)
@@ -350,7 +366,7 @@
         except Refused as problem:
             self.count["writes refused"] += 1
             return done(problem)
-        self._unsafe[name] = (memory, waiting + 1)
+        self._unsynced[name] = (memory, waiting + 1)
 
     # ---- the other relay's records
 
@@ -361,7 +377,7 @@
             claimed, known = decisions.unpack(record), self._known(name)
         except (StoreError, ValueError):
             return True
-        return name in self._live or not decisions.newer(claimed, known)
+        return name in self._live or not decisions.is_newer(claimed, known)
 
     def mirror(self, name: str, record: bytes, claimed: bool, done: Done) -> None:
         """Keep what the other relay knows, where that is more than what is known here."""
@@ -370,19 +386,19 @@
         except (StoreError, ValueError) as problem:
             return done(StoreError(str(problem)))
         live = self._live.get(name)
-        if not claimed and (live is not None or not decisions.newer(told, known)):
-            self._come_back(name)
+        if not claimed and (live is not None or not decisions.is_newer(told, known)):
+            self._retry_waiters(name)
             return done(None)
         self.count["mirrored"] += 1
         self._write(name, told, done)
-        if claimed and len(self._elsewhere) < ELSEWHERE:
-            self._elsewhere.setdefault(name, [])
+        if claimed and len(self._open_at_peer) < OPEN_AT_PEER_LIMIT:
+            self._open_at_peer.setdefault(name, [])
         elif not claimed:
-            self._come_back(name)
+            self._retry_waiters(name)
 
     def all(self) -> Iterator[tuple[str, bytes]]:
         """Every record, those not yet safe as well."""
         for key, value in self._store.engine.scan(self._space, b"", self._store.now):
             yield key.decode(), value
-        for name, (memory, _) in list(self._unsafe.items()):
+        for name, (memory, _) in list(self._unsynced.items()):
             yield name, memory.pack()
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -23,7 +23,7 @@
 from loftroute.store.writer import Done
 
 CLOCK = "clock"
-NOWHERE = 255
+MISSING_SPACE = 255
 SWEEP_EVERY = 1_000 * MS
 CLOCK_EVERY = 10_000 * MS
 WEIGHTS = {"checkpoint": 4, "compact": 2, "sweep": 1}
@@ -52,10 +52,10 @@
         self._offset = resume(self._last_clock(), begun, self.engine.state.horizon) - scheduler.clock.now()
         self._agenda = Agenda(budget, scheduler.clock.now())
         self._commits, self._syncs = Worker(scheduler), Worker(scheduler)
-        self._wanted = False
+        self._mark_due = False
         self._sweep_at = self._clock_at = 0
         self._committer = scheduler.spawn("store", self._commit)
-        self._worker = scheduler.spawn("store background", self._work)
+        self._worker = scheduler.spawn("store background", self._run_background)
         self.ended = False
 
     @classmethod
@@ -80,13 +80,13 @@
         """A named space's number (blocking where it is new). In a store that takes no writes a new one is
         empty and stays so."""
         if self.engine.stopped and name not in self.engine.spaces:
-            return NOWHERE
+            return MISSING_SPACE
         return self.engine.space(name)
 
     def submit(self, ops: Sequence[Op], done: Done) -> None:
         """As `LogWriter.submit`; the commit begins in this turn or when the one under way ends."""
         self._writer.submit(ops, done)
-        self._wanted = True
+        self._mark_due = True
         self.scheduler.wake(self._committer)
 
     def get(self, space: int, key: bytes) -> bytes | None:
@@ -129,8 +129,8 @@
             if len(self._writer.pending):
                 drive(self._writer.commit(self.now), partial(self._sync, self._commits))
                 continue
-            if self._wanted:  # all is written: say so behind it
-                self._wanted = False
+            if self._mark_due:  # all is written: say so behind it
+                self._mark_due = False
                 drive(self._writer.commit(self.now), partial(self._sync, self._commits))
                 continue
             self.scheduler.park()
@@ -142,12 +142,12 @@
             logger.error("store: sync failed: {}", problem)
         return problem if problem is None or isinstance(problem, OSError) else OSError(str(problem))
 
-    def _work(self) -> None:
+    def _run_background(self) -> None:
         """Background work, a step at a time."""
         clock = self.scheduler.clock
         while not self.ended:
             now = clock.now()
-            self._plan(now)
+            self._schedule_work(now)
             job = self._agenda.next(now, self._lag())
             if job is None:
                 self.scheduler.park(self._agenda.wake_at(now) or now + 100 * MS)
@@ -159,7 +159,7 @@
             self._step(job)
             self.scheduler.sleep(1)  # the hub looks at the sockets between two steps
 
-    def _plan(self, now: int) -> None:
+    def _schedule_work(self, now: int) -> None:
         engine, agenda = self.engine, self._agenda
         busy = {job.name for job in agenda.jobs}
         if "compact" not in busy and (run := engine.compaction_due()):
@@ -169,7 +169,7 @@
         if "sweep" not in busy and now >= self._sweep_at and not engine.stopped:
             self._sweep_at = now + SWEEP_EVERY
             agenda.add(now, Job("sweep", WEIGHTS["sweep"], engine.sweep(self.now)))
-            engine.tend()
+            engine.restore_reserve()
         if now >= self._clock_at:
             self._clock_at = now + CLOCK_EVERY
             self._note_clock()
--- a/loftroute/store/checkpoint.py
+++ b/loftroute/store/checkpoint.py
@@ -55,9 +55,12 @@
         state, active = self._log.state, self._log.writable
         return Summary(
             state.next_seq,
-            state.time(now),
+            state.advance_time(now),
             (active.header.id, active.durable, active.durable_link),
-            {number: (one.size, one.live, one.deletions) for number, one in state.segments.items()},
+            {
+                number: (one.size, one.live_bytes, one.deletion_bytes)
+                for number, one in state.segments.items()
+            },
             {space: (keys, size) for space, (keys, size) in state.usage.items()},
         )
 
@@ -106,7 +109,7 @@
         if old_place.file in state.segments:
             yield old_key, old_place
         else:
-            state.settle(old_key, old_place)
+            state.forget_if_gone(old_key, old_place)
             keys, size = summary.usage[old_key[0]]
             summary.usage[old_key[0]] = keys - 1, size - old_place.size
     while key is not None:
--- a/loftroute/store/compacted.py
+++ b/loftroute/store/compacted.py
@@ -10,8 +10,8 @@
     Header,
     Location,
     Record,
-    frame,
-    payload,
+    pack_frame,
+    pack_ops,
 )
 from loftroute.store.reserve import Reserve
 from loftroute.store.state import op_key
@@ -33,7 +33,7 @@
         self.file = directory.create(header.name + TEMPORARY)
         self.end = HEADER_SIZE  # bytes, with what is not flushed yet
         self.moves: list[Move] = []
-        self.deletions = 0  # bytes of deletions
+        self.deletion_bytes = 0
         self._reserve, self._link = reserve, header.seed
         self._buffer, self._flushed = [header.pack()], 0
 
@@ -47,14 +47,14 @@
 
     def _add_frame(self, row: list[Record], at: int) -> None:
         ops = [record.op for record in row]
-        raw, crc = frame(self.header.seed, self._link, row[0].seq, 0, at, payload(ops))
+        raw, crc = pack_frame(self.header.seed, self._link, row[0].seq, 0, at, pack_ops(ops))
         share = len(raw) // len(row)
         for seq, op in zip((record.seq for record in row), ops, strict=True):
             if op.kind == PUT:
                 place = Location(seq, self.header.id, self.end, len(raw), share, op.expiry)
                 self.moves.append(Move(op_key(op), place))
             else:
-                self.deletions += share
+                self.deletion_bytes += share
         self._append(raw, crc)
 
     def _append(self, raw: bytes, crc: int) -> None:
@@ -63,7 +63,7 @@
 
     def seal(self, seq: int, now: int) -> None:
         """Write the closing mark, without which the file is not whole; `seq` is the number behind it."""
-        raw, crc = frame(self.header.seed, self._link, seq, self.end, now, b"")
+        raw, crc = pack_frame(self.header.seed, self._link, seq, self.end, now, b"")
         self._append(raw, crc)
         self.flush()
 
--- a/loftroute/store/compaction.py
+++ b/loftroute/store/compaction.py
@@ -1,7 +1,7 @@
 """Compaction: a run of sealed segments becomes one that holds only what is still needed.
 
 Until the new segment is durable under its name nothing of the old is touched; then the old ones go. Which run
-is worth it, `plan.compaction` decides.
+is worth it, `plan.choose_run` decides.
 """
 
 import contextlib
@@ -10,7 +10,7 @@
 from loftroute.store import plan
 from loftroute.store.compacted import CompactedWriter, Move
 from loftroute.store.log import Log
-from loftroute.store.plan import Run
+from loftroute.store.plan import CompactionRun
 from loftroute.store.records import (
     COMPACTED,
     DELETE,
@@ -22,7 +22,7 @@
     Location,
     Op,
     Record,
-    records,
+    frame_records,
 )
 from loftroute.store.reserve import Reserve
 from loftroute.store.state import Segment, op_key
@@ -43,7 +43,7 @@
         self._log, self._reserve = log, reserve
         self.running = False
 
-    def compact(self, run: Run, now: int) -> Steps:
+    def compact(self, run: CompactionRun, now: int) -> Steps:
         """Compact a run. `now` is store time in nanoseconds. Failures are counted, not raised."""
         log = self._log
         inputs = log.sealed[run.first : run.last + 1]
@@ -53,7 +53,7 @@
         try:
             output = CompactedWriter(log.directory, self._reserve, made)
             # What a snapshot has kept alive a deletion must go on hiding.
-            clean = plan.clean_before(log.sealed, run.first) if made.clean > 1 else 0
+            clean = plan.min_cleaned_before(log.sealed, run.first) if made.cleaned_before > 1 else 0
             for segment in inputs:
                 yield from self._copy(segment, output, clean, now)
             output.seal(self._following(run).base + 1, now)
@@ -86,7 +86,7 @@
             1 if state.snapshots else state.next_seq,
         )
 
-    def _following(self, run: Run) -> Header:
+    def _following(self, run: CompactionRun) -> Header:
         following = self._log.sealed[run.last + 1 :]
         return following[0].header if following else self._log.writable.header
 
@@ -94,7 +94,7 @@
         """Copy what of a segment is still needed."""
         moved = 0
         for frame in self._frames(segment):
-            kept = [self._kept(record, clean, now) for record in records(frame)]
+            kept = [self._kept(record, clean, now) for record in frame_records(frame)]
             output.add([record for record in kept if record is not None], frame.at)
             moved += frame.end - frame.offset
             if moved >= STEP_BYTES:
@@ -110,7 +110,7 @@
         op, state = record.op, self._log.state
         key = op_key(op)
         current = state.lookup(key)
-        if op.kind == PUT and state.needed(key, record, now, current):
+        if op.kind == PUT and state.is_needed(key, record, now, current):
             return record
         if op.kind == PUT and current and current.seq == record.seq:
             state.drop_expired(key, current, now)
@@ -127,8 +127,8 @@
             frames = self._frames_at(segment, at, link, seq)
             yield from frames
             last = frames[-1]
-            at, link, seq = last.end, last.crc, last.seq + plan.count(last)
-        plan.whole(header, [last] if last else [], at, segment.size)
+            at, link, seq = last.end, last.crc, last.seq + plan.record_count(last)
+        plan.check_complete(header, [last] if last else [], at, segment.size)
 
     def _frames_at(self, segment: Segment, at: int, link: int, seq: int) -> list[Frame]:
         """One frame at least, from an offset on; raises `Damaged` where none can be read."""
@@ -136,7 +136,7 @@
         part = READ_BYTES
         while part < READ_MOST * max(READ_BYTES, limit):
             raw = self._log.files[header.id].read(at, min(part, segment.size - at))
-            if frames := plan.walk_from(raw, header, limit, at, seq, link):
+            if frames := plan.parse_frames(raw, header, limit, at, seq, link):
                 return frames
             part *= READ_GROWTH
         raise Damaged(header.name, at, "unreadable")
@@ -144,7 +144,7 @@
     def _install(self, inputs: list[Segment], output: CompactedWriter) -> Steps:
         """The new segment takes the place of the old ones."""
         log, made = self._log, output.header
-        segment = Segment(made, output.end, deletions=output.deletions)
+        segment = Segment(made, output.end, deletion_bytes=output.deletion_bytes)
         log.files[made.id] = output.file
         log.state.segments[made.id] = segment
         yield from self._follow_moves(output.moves)
--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -18,7 +18,7 @@
 from loftroute.store.expiry import sweep
 from loftroute.store.followers import Change, Follower, Followers
 from loftroute.store.log import ActiveSegment, Log
-from loftroute.store.plan import Limits, Run
+from loftroute.store.plan import CompactionRun, Limits
 from loftroute.store.records import PUT, Frame, Location, Op, StoreError
 from loftroute.store.recovery import identify, recover
 from loftroute.store.reserve import Reserve
@@ -190,15 +190,15 @@
         log, running = self._log, self._compactor.running or self._checkpointer.running
         return log.active is not None and not log.stopped and not running
 
-    def compaction_due(self) -> Run | None:
+    def compaction_due(self) -> CompactionRun | None:
         """The run of sealed segments to be compacted now, if any."""
         active = self._log.active
         if active is None or not self._may_maintain():
             return None
         retained = self._followers.retained_from()
-        return plan.compaction(self._log.sealed, active.end, self._log.limits, retained)
+        return plan.choose_run(self._log.sealed, active.end, self._log.limits, retained)
 
-    def compact(self, run: Run, now: int) -> Steps:
+    def compact(self, run: CompactionRun, now: int) -> Steps:
         """As `Compactor.compact`."""
         return self._compactor.compact(run, now)
 
@@ -217,7 +217,7 @@
         """As `expiry.sweep`."""
         return sweep(self._log, now)
 
-    def tend(self) -> None:
+    def restore_reserve(self) -> None:
         """Have the reserve again once there is room."""
         if not self.stopped:
             self._reserve.restore()
@@ -230,16 +230,16 @@
         return {
             "segments": len(state.segments),
             "bytes": self.used,
-            "live_bytes": sum(segment.live for segment in state.segments.values()),
+            "live_bytes": sum(segment.live_bytes for segment in state.segments.values()),
             "keys": sum(usage[0] for usage in state.usage.values()),
             "next_seq": state.next_seq,
             "spaces": {name: state.usage.get(number, [0, 0]) for name, number in self.spaces.items()},
             "changed_keys": len(state.overlay),
             "checkpoint": checkpoint.name if checkpoint else "",
             "snapshots": len(state.snapshots),
-            "snapshots_cut": state.cut_off,
+            "snapshots_cut": state.snapshots_cut,
             "followers": len(self._followers),
-            "expired": state.expired,
+            "expired": state.expired_keys,
             "torn_bytes": self.recovered.torn_bytes,
             "stopped": self.stopped,
             **asdict(self.counters),
--- a/loftroute/store/expiry.py
+++ b/loftroute/store/expiry.py
@@ -25,7 +25,7 @@
 def _forget_gone(log: Log) -> Steps:
     state, base = log.state, log.state.base
     for number, (key, place) in enumerate(base.scan(b"") if base else (), 1):
-        state.settle(key, place)
+        state.forget_if_gone(key, place)
         if number % PAGE == 0:
             yield PAGE * KEY_BYTES
             if state.base is not base:
--- a/loftroute/store/followers.py
+++ b/loftroute/store/followers.py
@@ -6,7 +6,7 @@
 
 from loftroute.store import plan
 from loftroute.store.log import Log
-from loftroute.store.records import COMPACTED, HEADER_SIZE, PUT, Frame, Record, records
+from loftroute.store.records import COMPACTED, HEADER_SIZE, PUT, Frame, Record, frame_records
 from loftroute.store.state import PAGE, CutOff, Segment
 
 
@@ -93,7 +93,7 @@
         end = self._log.state.next_seq
         found: list[Change] = []
         for frame in self._unread(follower):
-            found += [_change(one) for one in records(frame) if follower.position <= one.seq < end]
+            found += [_change(one) for one in frame_records(frame) if follower.position <= one.seq < end]
             if len(found) >= most:
                 break
         if found:
@@ -110,7 +110,7 @@
             if last_seq < follower.position:
                 continue
             for frame in self._frames(segment, follower.cursor):
-                after = frame.seq + plan.count(frame)
+                after = frame.seq + plan.record_count(frame)
                 follower.cursor = Cursor(segment.header.id, frame.end, frame.crc, after)
                 if after > follower.position:
                     yield frame
--- a/loftroute/store/index.py
+++ b/loftroute/store/index.py
@@ -15,7 +15,7 @@
 
 import google_crc32c
 
-from loftroute.store.records import INDEX_MAGIC, VERSION, Damaged, Location, packed, unpacked
+from loftroute.store.records import INDEX_MAGIC, VERSION, Damaged, Location, pack_checked, unpack_checked
 
 BLOCK = 32  # keys
 BITS, HASHES = 10, 4  # of the filter, for each key: about one in 80 new keys is looked for in vain
@@ -75,7 +75,7 @@
         summary.firsts, summary.offsets, summary.count = self.firsts, self.offsets, self.count
         summary.absent = bytes(self._bits)
         at = self._size
-        self._put(packed(summary.raw()))
+        self._put(pack_checked(summary.raw()))
         self._out.append(TAIL.pack(at, self._crc, INDEX_MAGIC))
         return self.taken()
 
@@ -94,7 +94,7 @@
 
     def _close_block(self) -> None:
         if self._block:
-            self._put(packed(self._block))
+            self._put(pack_checked(self._block))
             self._block = []
 
     def _put(self, raw: bytes) -> None:
@@ -126,7 +126,7 @@
             offset += len(part)
         if (check and found != crc) or not HEAD.size <= at <= end:
             raise Damaged(name, 0, "its checksum is wrong")
-        raw, _ = unpacked(read(at, end - at), 0, name, at)
+        raw, _ = unpack_checked(read(at, end - at), 0, name, at)
         self.summary = Summary(**raw)  # type: ignore[arg-type]
         self._firsts, self._offsets = list(self.summary.firsts), [*self.summary.offsets, at]
         self.summary.firsts, self.summary.offsets = [], []
@@ -147,7 +147,7 @@
 
     def _block(self, number: int) -> Any:
         at = self._offsets[number]
-        block, _ = unpacked(self._read(at, self._offsets[number + 1] - at), 0, self.name, at)
+        block, _ = unpack_checked(self._read(at, self._offsets[number + 1] - at), 0, self.name, at)
         return block
 
     def lookup(self, key: bytes) -> Location | None:
--- a/loftroute/store/inspect.py
+++ b/loftroute/store/inspect.py
@@ -8,8 +8,8 @@
 
 from loftroute.runtime.files import Directory, RealDirectory
 from loftroute.store.engine import META, Engine
-from loftroute.store.plan import Limits, OnDamage, Run
-from loftroute.store.records import STORE_FILE, Damaged, StoreError, pack_store, records
+from loftroute.store.plan import CompactionRun, Limits, OnDamage
+from loftroute.store.records import STORE_FILE, Damaged, StoreError, frame_records, pack_store_file
 from loftroute.store.steps import drive
 
 TRIES = 5  # to meet the folder between two of a running relay's compactions
@@ -83,7 +83,7 @@
     shown = 0
     for segment in engine.state.segments.values():
         for one in engine.frames(segment):
-            for record in records(one):
+            for record in frame_records(one):
                 if space is not None and names.get(record.op.space) != space:
                     continue
                 if shown == most:
@@ -109,8 +109,8 @@
     before = engine.used
     now = engine.state.horizon
     drive(engine.sweep(now))
-    if len(engine.sealed) > 1 or (engine.sealed and engine.sealed[0].live < engine.sealed[0].size):
-        drive(engine.compact(Run(0, len(engine.sealed) - 1, "asked for"), now))
+    if len(engine.sealed) > 1 or (engine.sealed and engine.sealed[0].live_bytes < engine.sealed[0].size):
+        drive(engine.compact(CompactionRun(0, len(engine.sealed) - 1, "asked for"), now))
     drive(engine.checkpoint(now))
     after = engine.used
     problem = engine.stopped
@@ -128,7 +128,7 @@
     target = RealDirectory(to, create=True)
     if target.names():
         raise StoreError(f"{to}: not empty")
-    _write(target, STORE_FILE, pack_store(engine.store_id))
+    _write(target, STORE_FILE, pack_store_file(engine.store_id))
     size = 0
     for segment in engine.state.segments.values():
         raw = engine.files[segment.header.id].read(0, segment.size)
--- a/loftroute/store/log.py
+++ b/loftroute/store/log.py
@@ -17,8 +17,8 @@
     Header,
     Location,
     Record,
-    parse,
-    records,
+    frame_records,
+    parse_frame,
 )
 from loftroute.store.state import Segment, State
 
@@ -109,11 +109,11 @@
         """A record, its frame checked; raises `Damaged`, after which no more is written."""
         header = self.state.segments[place.file].header
         raw = self.files[place.file].read(place.offset, place.length)
-        frame = parse(raw, 0, place.offset, header.seed, self.frame_limit)
+        frame = parse_frame(raw, 0, place.offset, header.seed, self.frame_limit)
         if frame is None:
             self.stop(f"damage was found: {header.name} at offset {place.offset}")
             raise Damaged(header.name, place.offset, "unreadable")
-        return next(record for record in records(frame) if record.seq == place.seq)
+        return next(record for record in frame_records(frame) if record.seq == place.seq)
 
     def frames(self, segment: Segment) -> list[Frame]:
         """All frames of a segment."""
@@ -123,7 +123,7 @@
     def frames_from(self, segment: Segment, offset: int, link: int, seq: int) -> list[Frame]:
         """The frames of a segment from an offset on; `link` and `seq` are what the first must have."""
         raw = self.files[segment.header.id].read(offset, segment.size - offset)
-        return plan.walk_from(raw, segment.header, self.frame_limit, offset, seq, link)
+        return plan.parse_frames(raw, segment.header, self.frame_limit, offset, seq, link)
 
     # ---- the segments
 
--- a/loftroute/store/plan.py
+++ b/loftroute/store/plan.py
@@ -12,7 +12,7 @@
     Frame,
     Header,
     StoreError,
-    parse,
+    parse_frame,
 )
 from loftroute.store.state import Segment
 
@@ -21,7 +21,7 @@
     """Nothing was written, and nothing will be."""
 
 
-class Full(Refused):
+class OutOfSpace(Refused):
     """There is no room."""
 
 
@@ -37,7 +37,7 @@
     """The store takes no writes; the text says why."""
 
 
-class Unsure(StoreError):
+class DurabilityUnknown(StoreError):
     """It was written, but whether it is safe is not known: it may be there after a restart or not."""
 
 
@@ -103,27 +103,29 @@
     return Chain(taken, obsolete)
 
 
-def walk(data: bytes, header: Header, limit: int, start: int, seq: int, link: int) -> tuple[list[Frame], int]:
+def parse_frames_to_end(
+    data: bytes, header: Header, limit: int, start: int, seq: int, link: int
+) -> tuple[list[Frame], int]:
     """Frames from an offset on, each linked to the one before, and where the last whole one ends."""
-    frames = walk_from(data[start:] if start else data, header, limit, start, seq, link)
+    frames = parse_frames(data[start:] if start else data, header, limit, start, seq, link)
     return frames, frames[-1].end if frames else start
 
 
-def walk_from(data: bytes, header: Header, limit: int, start: int, seq: int, link: int) -> list[Frame]:
+def parse_frames(data: bytes, header: Header, limit: int, start: int, seq: int, link: int) -> list[Frame]:
     """The same where `data` begins at offset `start` of the file."""
     frames: list[Frame] = []
     at, seed = start, header.seed
-    while (found := parse(data, at - start, at, seed, limit)) is not None:
+    while (found := parse_frame(data, at - start, at, seed, limit)) is not None:
         sealed = header.kind == COMPACTED
         if found.link != link or (found.seq < seq if sealed else found.seq != seq):
             break
         frames.append(found)
         at, link = found.end, found.crc
-        seq = found.seq + count(found)
+        seq = found.seq + record_count(found)
     return frames
 
 
-def count(frame: Frame) -> int:
+def record_count(frame: Frame) -> int:
     """How many records a frame holds."""
     at, number, body = 0, 0, frame.payload
     while at < len(body):
@@ -136,7 +138,7 @@
     return number
 
 
-def torn(data: bytes, at: int, header: Header, limit: int) -> None:
+def check_torn_tail(data: bytes, at: int, header: Header, limit: int) -> None:
     """What lies from `at` on can't be read. It is a torn tail if nothing behind it was written after a sync
     that covered it; a later frame which knows that more than `at` bytes were safe proves damage.
 
@@ -146,11 +148,11 @@
     seed = header.seed
     for place in range(at + 1, len(data) - FRAME.size + 1):
         durable = int.from_bytes(data[place + 20 : place + 28], "little")
-        if at < durable <= place and parse(data, place, place, seed, limit):
+        if at < durable <= place and parse_frame(data, place, place, seed, limit):
             raise Damaged(header.name, at, "unreadable, though later records show that it was safe")
 
 
-def whole(header: Header, frames: list[Frame], end: int, wanted: int) -> None:
+def check_complete(header: Header, frames: list[Frame], end: int, wanted: int) -> None:
     """A file that others follow must be whole up to its known end."""
     if header.kind == LOG:
         if end < wanted or (
@@ -170,7 +172,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Run:
+class CompactionRun:
     """Files first to last (places in the chain) that are to become one."""
 
     first: int
@@ -178,14 +180,14 @@
     reason: str
 
 
-def amplified(segments: list[Segment], active: int, limits: Limits) -> bool:
+def exceeds_amplification(segments: list[Segment], active: int, limits: Limits) -> bool:
     """Whether more is kept than the bound allows."""
     total = active + sum(s.size for s in segments)
-    live = active + sum(s.live for s in segments)
+    live = active + sum(s.live_bytes for s in segments)
     return total > limits.amplification * live + limits.segment
 
 
-def compaction(segments: list[Segment], active: int, limits: Limits, held: int) -> Run | None:
+def choose_run(segments: list[Segment], active: int, limits: Limits, held: int) -> CompactionRun | None:
     """The run of sealed files whose compaction frees most for what it writes.
 
     `segments` are the sealed files in order, `active` the bytes of the one written to, `held` the place from
@@ -194,48 +196,50 @@
     longest ago is compacted, after which younger deletions may go.
     """
     free = segments[:held]
-    if amplified(segments, active, limits):
+    if exceeds_amplification(segments, active, limits):
         best = max(_runs(free, limits), key=lambda found: found[0], default=(0.0, None))
         if best[1] and best[0] >= 0.5:
             return best[1]
-        if free and any(segment.deletions for segment in free):
-            place = min(range(len(free)), key=lambda n: free[n].header.clean)
-            return Run(place, place, "for deletions")
+        if free and any(segment.deletion_bytes for segment in free):
+            place = min(range(len(free)), key=lambda n: free[n].header.cleaned_before)
+            return CompactionRun(place, place, "for deletions")
     return _small(free, limits)
 
 
-def _runs(segments: list[Segment], limits: Limits) -> Iterable[tuple[float, Run]]:
+def _runs(segments: list[Segment], limits: Limits) -> Iterable[tuple[float, CompactionRun]]:
     """Runs that fit one file, with the bytes freed for each byte written."""
     for first in range(len(segments)):
         size = kept = 0
         for last in range(first, len(segments)):
             segment = segments[last]
             size += segment.size
-            kept += segment.live + segment.deletions * (not droppable(segments, first, last))
+            kept += segment.live_bytes + segment.deletion_bytes * (
+                not can_drop_deletions(segments, first, last)
+            )
             if kept > limits.segment and last > first:
                 break
-            yield (size - kept) / (kept + 512), Run(first, last, "garbage")
+            yield (size - kept) / (kept + 512), CompactionRun(first, last, "garbage")
 
 
-def droppable(segments: list[Segment], first: int, last: int) -> bool:
+def can_drop_deletions(segments: list[Segment], first: int, last: int) -> bool:
     """Whether all deletions of a run may go: every file before it was cleaned after the last of them."""
     following = segments[last + 1].header.base if last + 1 < len(segments) else 1 << 63
-    return clean_before(segments, first) > following
+    return min_cleaned_before(segments, first) > following
 
 
-def clean_before(segments: list[Segment], first: int) -> int:
+def min_cleaned_before(segments: list[Segment], first: int) -> int:
     """A deletion below this number hides nothing in the files before place `first`."""
-    return min((segment.header.clean for segment in segments[:first]), default=1 << 64)
+    return min((segment.header.cleaned_before for segment in segments[:first]), default=1 << 64)
 
 
-def _small(segments: list[Segment], limits: Limits) -> Run | None:
+def _small(segments: list[Segment], limits: Limits) -> CompactionRun | None:
     """So many small files in a row that reading their heads costs more than making them one."""
     begin = 0
     for place, segment in enumerate([*segments, None]):
         if segment is not None and segment.size < limits.segment // limits.merge:
             continue
         if place - begin >= limits.merge:
-            return Run(begin, min(place - 1, begin + 4 * limits.merge), "small")
+            return CompactionRun(begin, min(place - 1, begin + 4 * limits.merge), "small")
         begin = place + 1
     return None
 
--- a/loftroute/store/records.py
+++ b/loftroute/store/records.py
@@ -19,7 +19,7 @@
 MAGIC, INDEX_MAGIC, STORE_MAGIC = b"LOFTSEG\0", b"LOFTIDX\0", b"LOFTSTO\0"
 LOG, COMPACTED = 0, 1
 PUT, DELETE = 1, 2
-NAME = re.compile(r"(\d{12})-(\d{12})-(\d{6})\.log")
+SEGMENT_NAME = re.compile(r"(\d{12})-(\d{12})-(\d{6})\.log")
 INDEX_NAME = re.compile(r"(\d{20})\.idx")
 TEMPORARY = ".tmp"
 STORE_FILE = "STORE"
@@ -70,7 +70,7 @@
     base: int  # the number of the last record before it
     prev_end: int  # bytes of the segment before it that count; what lies behind was given up
     store: bytes  # 8 bytes, the same in all files of a store
-    clean: int = 0  # compacted: it holds nothing that a record below this number had superseded
+    cleaned_before: int = 0  # compacted: it holds nothing that a record below this number had superseded
 
     @property
     def id(self) -> int:
@@ -83,7 +83,7 @@
     @property
     def seed(self) -> int:
         """What the checksums of its frames begin with: bytes of another file never pass for its own."""
-        return seed(self.store, self.first, self.last, self.generation)
+        return checksum_seed(self.store, self.first, self.last, self.generation)
 
     def pack(self) -> bytes:
         raw = HEADER.pack(
@@ -96,7 +96,7 @@
             self.generation,
             self.base,
             self.prev_end,
-            self.clean,
+            self.cleaned_before,
             self.store,
         )
         return raw + CRC.pack(google_crc32c.value(raw))
@@ -130,11 +130,11 @@
     return first << 24 | generation
 
 
-def seed(store: bytes, first: int, last: int, generation: int) -> int:
+def checksum_seed(store: bytes, first: int, last: int, generation: int) -> int:
     return int(google_crc32c.value(store + struct.pack("<QQI", first, last, generation)))
 
 
-def header(raw: bytes, name: str) -> Header:
+def parse_header(raw: bytes, name: str) -> Header:
     """A segment's header, checked whole against its checksum and its file's name."""
     if len(raw) < HEADER_SIZE:
         raise Damaged(name, 0, "no whole header")
@@ -151,7 +151,7 @@
     return found
 
 
-def payload(ops: Sequence[Op]) -> bytes:
+def pack_ops(ops: Sequence[Op]) -> bytes:
     """A batch's records, one behind another."""
     parts: list[bytes] = []
     pack = RECORD.pack
@@ -160,14 +160,14 @@
     return b"".join(parts)
 
 
-def frame(start: int, link: int, seq: int, durable: int, at: int, body: bytes) -> tuple[bytes, int]:
+def pack_frame(start: int, link: int, seq: int, durable: int, at: int, body: bytes) -> tuple[bytes, int]:
     """A batch as it is written, and its checksum; `start` is its segment's seed."""
     raw = HEAD.pack(len(body), link, seq, durable, at) + body
     crc = google_crc32c.extend(start, raw)
     return CRC.pack(crc) + raw, crc
 
 
-def parse(data: bytes, at: int, offset: int, start: int, limit: int) -> Frame | None:
+def parse_frame(data: bytes, at: int, offset: int, start: int, limit: int) -> Frame | None:
     """The frame at `data[at:]`, which lies at `offset` of its file; None where there is no whole, right
     one."""
     if len(data) - at < FRAME.size:
@@ -182,7 +182,7 @@
     return Frame(offset, offset + FRAME.size + length, crc, link, seq, durable, when, body)
 
 
-def records(found: Frame) -> Iterator[Record]:
+def frame_records(found: Frame) -> Iterator[Record]:
     """The changes of a batch in their order; a payload that does not add up is an error of the writer."""
     body, at, seq = found.payload, 0, found.seq
     while at < len(body):
@@ -196,13 +196,13 @@
         seq += 1
 
 
-def pack_store(store: bytes) -> bytes:
+def pack_store_file(store: bytes) -> bytes:
     """The file that names the store: magic, version, id, checksum."""
     raw = STORE_MAGIC + struct.pack("<H", VERSION) + store
     return raw + CRC.pack(google_crc32c.value(raw))
 
 
-def read_store(raw: bytes) -> bytes:
+def parse_store_file(raw: bytes) -> bytes:
     """The id of a store from its file."""
     if raw[:8] != STORE_MAGIC or len(raw) < 22:
         raise Damaged(STORE_FILE, 0, "not the file of a store")
@@ -214,14 +214,14 @@
     return raw[10:18]
 
 
-def packed(value: object) -> bytes:
+def pack_checked(value: object) -> bytes:
     """Any plain value with its length and checksum before it."""
     raw = msgpack.packb(value)
     return bytes(struct.pack("<II", google_crc32c.value(raw), len(raw)) + raw)
 
 
-def unpacked(data: bytes, at: int, name: str, offset: int) -> tuple[object, int]:
-    """A value written by `packed` and the place behind it."""
+def unpack_checked(data: bytes, at: int, name: str, offset: int) -> tuple[object, int]:
+    """A value written by `pack_checked` and the place behind it."""
     if len(data) - at < 8:
         raise Damaged(name, offset, "cut short")
     crc, length = struct.unpack_from("<II", data, at)
--- a/loftroute/store/recovery.py
+++ b/loftroute/store/recovery.py
@@ -17,8 +17,8 @@
     HEADER_SIZE,
     INDEX_NAME,
     LOG,
-    NAME,
     PUT,
+    SEGMENT_NAME,
     STORE_FILE,
     TEMPORARY,
     Damaged,
@@ -27,11 +27,11 @@
     Location,
     Record,
     StoreError,
-    frame,
-    header,
-    pack_store,
-    read_store,
-    records,
+    frame_records,
+    pack_frame,
+    pack_store_file,
+    parse_header,
+    parse_store_file,
 )
 from loftroute.store.reserve import RESERVE_FILE
 from loftroute.store.state import Segment, op_key
@@ -61,15 +61,15 @@
     """
     names = directory.names()
     if STORE_FILE in names:
-        return read_store(_load(directory, STORE_FILE))
-    if any(NAME.fullmatch(name) or INDEX_NAME.fullmatch(name) for name in names):
+        return parse_store_file(_load(directory, STORE_FILE))
+    if any(SEGMENT_NAME.fullmatch(name) or INDEX_NAME.fullmatch(name) for name in names):
         raise Damaged(STORE_FILE, 0, "missing, though the folder holds segments")
     foreign = [name for name in names if not name.endswith(TEMPORARY) and name != RESERVE_FILE]
     if foreign:
         raise StoreError(f"{directory.path}: holds {foreign[0]}, which is not of a store")
     if read_only or len(store_id) != STORE_ID_SIZE:
         raise StoreError(f"{directory.path}: no store here")
-    create_durable(directory, STORE_FILE, pack_store(store_id)).close()
+    create_durable(directory, STORE_FILE, pack_store_file(store_id)).close()
     return store_id
 
 
@@ -123,11 +123,11 @@
         headers: list[Header] = []
         problem: Damaged | None = None
         for name in names:
-            if not NAME.fullmatch(name):
+            if not SEGMENT_NAME.fullmatch(name):
                 continue
             file = self._directory.open(name)
             try:
-                found = header(file.read(0, HEADER_SIZE), name)
+                found = parse_header(file.read(0, HEADER_SIZE), name)
                 if found.store != self._log.store_id:
                     raise Damaged(name, 0, "a segment of another store")
             except Damaged as damage:
@@ -230,12 +230,12 @@
         start, seq, link = HEADER_SIZE, found.base + 1, found.seed
         if covered and found.id == covered.position[0]:
             start, seq, link = covered.position[1], covered.next_seq, covered.position[2]
-        frames, end = plan.walk(data, found, self._log.frame_limit, start, seq, link)
+        frames, end = plan.parse_frames_to_end(data, found, self._log.frame_limit, start, seq, link)
         try:
             if last:
-                plan.torn(data, end, found, self._log.frame_limit)
+                plan.check_torn_tail(data, end, found, self._log.frame_limit)
             else:
-                plan.whole(found, frames, end, size)
+                plan.check_complete(found, frames, end, size)
         except Damaged:
             self._apply(found, frames, covered)  # for whoever opens it for reading: as far as it goes
             raise
@@ -250,7 +250,7 @@
         state, before = self._state, covered.next_seq if covered else 0
         for one in frames:
             state.horizon = max(state.horizon, one.at)
-            changes = list(records(one))
+            changes = list(frame_records(one))
             length = one.end - one.offset
             share = length // max(len(changes), 1)
             for record in changes:
@@ -275,7 +275,7 @@
         its old pages may never have reached the disk, and a sync of them may not be believed."""
         log, state = self._log, self._state
         kept = [one for one in tail if one.payload]
-        self._recovered.tail_records = sum(map(plan.count, kept))
+        self._recovered.tail_records = sum(map(plan.record_count, kept))
         previous = next(reversed(state.segments.values()), None)
         if previous is not None:
             log.sealed.append(previous)
@@ -288,7 +288,7 @@
         log.add_active(ActiveSegment(file, made, end, end, link, link, marked=False))
         log.recount_sealed()
         self._apply(made, copies, None)
-        state.time(now)
+        state.advance_time(now)
 
 
 def _check_files(name: str, summary: Summary, headers: list[Header], sizes: dict[int, int]) -> None:
@@ -312,7 +312,7 @@
     raw, copies = [made.pack()], []
     offset, link = HEADER_SIZE, made.seed
     for old in frames:
-        data, crc = frame(made.seed, link, old.seq, 0, old.at, old.payload)
+        data, crc = pack_frame(made.seed, link, old.seq, 0, old.at, old.payload)
         end = offset + len(data)
         copies.append(Frame(offset, end, crc, link, old.seq, 0, old.at, old.payload))
         raw.append(data)
--- a/loftroute/store/state.py
+++ b/loftroute/store/state.py
@@ -35,8 +35,8 @@
 
     header: Header
     size: int
-    live: int = 0
-    deletions: int = 0  # bytes of records that only say that a key is gone
+    live_bytes: int = 0  # of records that are the newest of their keys
+    deletion_bytes: int = 0  # of records that only say that a key is gone
 
 
 @dataclass(slots=True, eq=False)
@@ -71,7 +71,7 @@
             self._fresh.append(key)
         self[key] = place
 
-    def take(self, other: "Layer") -> None:
+    def merge(self, other: "Layer") -> None:
         for key, place in other.items():
             self.put(key, place)
 
@@ -97,26 +97,26 @@
         self.usage: dict[int, list[int]] = {}  # space: keys, bytes
         self.next_seq, self.horizon = 1, 0
         self.snapshots: list[Snapshot] = []
-        self.cut_off = self.expired = 0
+        self.snapshots_cut = self.expired_keys = 0
 
     # ---- reading
 
-    def time(self, now: int) -> int:
+    def advance_time(self, now: int) -> int:
         """The store's time never goes back: what was once expired stays so."""
         self.horizon = max(self.horizon, now)
         return self.horizon
 
-    def tick(self, now: int) -> int:
+    def next_commit_time(self, now: int) -> int:
         """The time of a commit: no two have the same, so that no frame is ever written twice alike."""
         self.horizon = max(self.horizon + 1, now)
         return self.horizon
 
     def lookup(self, key: bytes) -> Location | None:
         """Where the newest record of a key lies, expired or not."""
-        found = self._told(key)
+        found = self._newest(key)
         return found if found and found.file in self.segments else None
 
-    def _told(self, key: bytes) -> Location | None:
+    def _newest(self, key: bytes) -> Location | None:
         """What the layers say. The checkpoint may tell of a file that is gone: what it has there was dead
         when that was compacted."""
         found: Any = self.overlay.get(key, _MISSING)
@@ -134,7 +134,7 @@
             now = snapshot.now
             found = snapshot.kept[key] if key in snapshot.kept else self.lookup(key)
         else:
-            found, now = self.lookup(key), self.time(now)
+            found, now = self.lookup(key), self.advance_time(now)
         return found if found and not 0 < found.expiry <= now else None
 
     def page(
@@ -173,40 +173,40 @@
         key = _SPACES[space] + name
         self.next_seq = seq + 1
         overlay = self.overlay
-        told: Any = overlay.get(key, _MISSING)
-        if told is _MISSING and self.frozen is None and self.base is None:
+        known: Any = overlay.get(key, _MISSING)
+        if known is _MISSING and self.frozen is None and self.base is None:
             if self.snapshots:
-                self._keep(key, None)
-        elif told is not None:
-            self._leave(key)
+                self._keep_for_snapshots(key, None)
+        elif known is not None:
+            self._retire(key)
         elif self.snapshots:
-            self._keep(key, None)
+            self._keep_for_snapshots(key, None)
         segment = self.segments[file]
         if kind == PUT:
             overlay.put(key, Location(seq, file, offset, length, size, expiry))
-            segment.live += size
-            self.use(space, 1, size)
+            segment.live_bytes += size
+            self.add_usage(space, 1, size)
         else:
             overlay.put(key, None)
-            segment.deletions += size
+            segment.deletion_bytes += size
 
-    def _leave(self, key: bytes) -> None:
+    def _retire(self, key: bytes) -> None:
         """What the key was counts no more; snapshots keep it."""
-        told = self._told(key)
-        old = told if told and told.file in self.segments else None
-        self._keep(key, old)
+        newest = self._newest(key)
+        old = newest if newest and newest.file in self.segments else None
+        self._keep_for_snapshots(key, old)
         if old:
-            self.segments[old.file].live -= old.size
-        if told:
-            self.use(key[0], -1, -told.size)
+            self.segments[old.file].live_bytes -= old.size
+        if newest:
+            self.add_usage(key[0], -1, -newest.size)
 
-    def _keep(self, key: bytes, old: Location | None) -> None:
+    def _keep_for_snapshots(self, key: bytes, old: Location | None) -> None:
         for snapshot in self.snapshots:
             snapshot.kept.setdefault(key, old)
             if len(snapshot.kept) > self._snapshot_keys:
-                self.cut(snapshot)
+                self.cut_off_snapshot(snapshot)
 
-    def use(self, space: int, keys: int, size: int) -> None:
+    def add_usage(self, space: int, keys: int, size: int) -> None:
         usage = self.usage.get(space)
         if usage is None:
             usage = self.usage[space] = [0, 0]
@@ -217,26 +217,26 @@
         """Forget an expired key. No record is needed: its own says when it ends, and time does not go
         back."""
         current = self.lookup(key)
-        if not current or current.seq != place.seq or not 0 < current.expiry <= self.time(now):
+        if not current or current.seq != place.seq or not 0 < current.expiry <= self.advance_time(now):
             return False
-        self._leave(key)
+        self._retire(key)
         self.overlay.put(key, None)
-        self.expired += 1
+        self.expired_keys += 1
         return True
 
-    def settle(self, key: bytes, place: Location) -> None:
+    def forget_if_gone(self, key: bytes, place: Location) -> None:
         """What the checkpoint has in a file that is gone was still counted."""
-        if place.file not in self.segments and self._told(key) == place:
-            self.use(key[0], -1, -place.size)
+        if place.file not in self.segments and self._newest(key) == place:
+            self.add_usage(key[0], -1, -place.size)
             self.overlay.put(key, None)
 
     def moved(self, key: bytes, seq: int, place: Location) -> None:
         """A record was copied elsewhere; only whoever still means that record follows it."""
         current = self.lookup(key)
         if current and current.seq == seq:
-            self.segments[current.file].live -= current.size
-            self.segments[place.file].live += place.size
-            self.use(key[0], 0, place.size - current.size)
+            self.segments[current.file].live_bytes -= current.size
+            self.segments[place.file].live_bytes += place.size
+            self.add_usage(key[0], 0, place.size - current.size)
             self.overlay.put(key, place)
         for snapshot in self.snapshots:
             kept = snapshot.kept.get(key)
@@ -250,14 +250,14 @@
         if key in self.overlay or not known or known.seq != place.seq:
             return False
         self.overlay.put(key, place)
-        self.segments[place.file].live += place.size
-        self.use(key[0], 0, place.size - known.size)
+        self.segments[place.file].live_bytes += place.size
+        self.add_usage(key[0], 0, place.size - known.size)
         return True
 
-    def needed(self, key: bytes, record: Record, now: int, current: Location | None) -> bool:
+    def is_needed(self, key: bytes, record: Record, now: int, current: Location | None) -> bool:
         """Whether somebody may still ask for this very record; `current` is where the key's newest lies."""
         if current and current.seq == record.seq:
-            oldest = min([snapshot.now for snapshot in self.snapshots], default=self.time(now))
+            oldest = min([snapshot.now for snapshot in self.snapshots], default=self.advance_time(now))
             return not 0 < current.expiry <= oldest
         return any(
             (kept := snapshot.kept.get(key)) is not None and kept.seq == record.seq
@@ -267,16 +267,16 @@
     # ---- snapshots, layers
 
     def snapshot(self, now: int) -> Snapshot:
-        made = Snapshot(self.next_seq - 1, self.time(now))
+        made = Snapshot(self.next_seq - 1, self.advance_time(now))
         self.snapshots.append(made)
         return made
 
-    def cut(self, snapshot: Snapshot) -> None:
+    def cut_off_snapshot(self, snapshot: Snapshot) -> None:
         """It holds too much: whoever reads it is told so."""
         snapshot.cut_off = True
         snapshot.kept.clear()
         self.snapshots = [other for other in self.snapshots if other is not snapshot]
-        self.cut_off += 1
+        self.snapshots_cut += 1
 
     def release(self, snapshot: Snapshot) -> None:
         snapshot.cut_off = True
@@ -289,7 +289,7 @@
     def thaw(self) -> None:
         """The checkpoint came to nothing: the layers are one again."""
         if self.frozen is not None:
-            self.frozen.take(self.overlay)
+            self.frozen.merge(self.overlay)
             self.overlay, self.frozen = self.frozen, None
 
     def rebase(self, base: Base) -> None:
--- a/loftroute/store/writer.py
+++ b/loftroute/store/writer.py
@@ -2,7 +2,7 @@
 commit).
 
 A batch's caller is told once: None when the batch is durable, else a `StoreError`. `Refused` means that
-nothing of it was written, `Unsure` that it may be found after a restart or not.
+nothing of it was written, `DurabilityUnknown` that it may be found after a restart or not.
 """
 
 import errno
@@ -21,8 +21,8 @@
     Header,
     Op,
     StoreError,
-    frame,
-    payload,
+    pack_frame,
+    pack_ops,
 )
 from loftroute.store.steps import Steps, StepsWithResult, Sync, drive
 
@@ -96,7 +96,7 @@
             )
         if log.size + pending_bytes + FRAME.size > limits.total:
             raise self._counted(
-                plan.Full(f"{log.size + self.pending_bytes} bytes are kept, {limits.total} may be")
+                plan.OutOfSpace(f"{log.size + self.pending_bytes} bytes are kept, {limits.total} may be")
             )
         pending.batches.append(ops)
         pending.sizes.append(size)
@@ -139,14 +139,14 @@
             return
         self._committing = True
         group = self._take_pending()
-        failed: StoreError | None = plan.Unsure("the writer was ended")
+        failed: StoreError | None = plan.DurabilityUnknown("the writer was ended")
         try:
             if active.end > self._limits.segment or active.spoilt:
                 problem = yield from self._roll(active)
                 if problem:
                     failed = _refusal("no new segment", problem)
                     return
-            failed = yield from self._write(group, log.state.tick(now))
+            failed = yield from self._write(group, log.state.next_commit_time(now))
         finally:
             self._committing = False
             if failed:
@@ -186,7 +186,7 @@
             size += sizes[place]
             if place < last and size + sizes[place + 1] <= most:
                 continue
-            raw, link = frame(seed, link, seq, active.durable, now, payload(ops))
+            raw, link = pack_frame(seed, link, seq, active.durable, now, pack_ops(ops))
             frames.append(PreparedFrame(offset, raw, link, seq, ops))
             offset, seq = offset + len(raw), seq + len(ops)
             ops, size = [], 0
@@ -212,8 +212,8 @@
         if active.marked or active.durable != active.end:
             return
         state = self._log.state
-        raw, crc = frame(
-            active.header.seed, active.link, state.next_seq, active.durable, state.tick(now), b""
+        raw, crc = pack_frame(
+            active.header.seed, active.link, state.next_seq, active.durable, state.next_commit_time(now), b""
         )
         try:
             active.file.write(active.end, raw)
@@ -232,7 +232,9 @@
             active.file.truncate(active.end)
         except OSError as worse:
             active.spoilt = True
-            return plan.Unsure(f"{active.file.name}: {problem}, and it could not be taken back: {worse}")
+            return plan.DurabilityUnknown(
+                f"{active.file.name}: {problem}, and it could not be taken back: {worse}"
+            )
         if again := (yield Sync(active.file.sync)):
             return (yield from self._sync_failed(active, again))
         return _refusal(active.file.name, problem)
@@ -249,7 +251,7 @@
             again = yield from self._roll(active)
             if again:
                 log.stopped = f"a sync failed ({problem}), and no new segment could be made ({again})"
-        return plan.Unsure(f"a sync failed: {problem}")
+        return plan.DurabilityUnknown(f"a sync failed: {problem}")
 
     def _roll(self, old: ActiveSegment) -> StepsWithResult[Exception | None]:
         """Go on in a new segment; the error, with all as it was, where there can be none."""
@@ -286,4 +288,4 @@
 
 def _refusal(what: str, problem: Exception) -> plan.Refused:
     full = isinstance(problem, OSError) and problem.errno in NO_SPACE
-    return (plan.Full if full else plan.Refused)(f"{what}: {problem}")
+    return (plan.OutOfSpace if full else plan.Refused)(f"{what}: {problem}")
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -21,22 +21,22 @@
 from loftroute.lab.standins import ROOT, Relay, eventually
 from loftroute.pair import fence, wire
 from loftroute.pair.fence import (
-    Ask,
     AskWitness,
     Denied,
     LinkDown,
     Mode,
+    PairMember,
     Promote,
     Refusal,
-    Side,
+    SendRequested,
     Standing,
     Tick,
-    Verdict,
-    Want,
     Witness,
+    WitnessRecord,
+    WitnessRequest,
 )
 from loftroute.protocol import NeedMore, ProtocolError
-from loftroute.recall.decisions import Fate, Memory, newer
+from loftroute.recall.decisions import RequestRecord, RunState, is_newer
 
 # ---- the fence as a model
 
@@ -84,21 +84,21 @@
 )
 def test_the_model_finds_each_rule_taken_out(monkeypatch, rule):
     if rule == "the other's word":
-        monkeypatch.setattr(Side, "_want", lambda self, event: [fence.Granted(event.id)])
+        monkeypatch.setattr(PairMember, "_send_requested", lambda self, event: [fence.Granted(event.id)])
     elif rule == "conflict":
-        old_claim = Side._claim
-        monkeypatch.setattr(Side, "_claim", lambda self, one, conflict: old_claim(self, one, False))
+        old_claim = PairMember._claimed
+        monkeypatch.setattr(PairMember, "_claimed", lambda self, one, conflict: old_claim(self, one, False))
     elif rule == "record before answer":
 
         def taken(self, one, conflict):
             if conflict or one.epoch != self.standing.epoch or self.standing.mode is not Mode.PAIRED:
-                return [fence.Tell(fence.ClaimAnswer(one.number, False))]
-            return [fence.Tell(fence.ClaimAnswer(one.number, True))]
+                return [fence.SendMessage(fence.ClaimAnswer(one.number, False))]
+            return [fence.SendMessage(fence.ClaimAnswer(one.number, True))]
 
-        monkeypatch.setattr(Side, "_claim", taken)
+        monkeypatch.setattr(PairMember, "_claimed", taken)
     elif rule == "witness gives once":
         monkeypatch.setattr(
-            Witness, "asked", lambda self, ask: Verdict(ask.epoch + 1, ask.name if ask.alone else "")
+            Witness, "asked", lambda self, ask: WitnessRecord(ask.epoch + 1, ask.name if ask.alone else "")
         )
     assert finds({}, 1500)
 
@@ -131,13 +131,13 @@
     def at_once(self, now):
         return self._ask(now, alone=False) if self.standing.mode is Mode.ALONE else []
 
-    monkeypatch.setattr(Side, "_peer_synced", at_once)
+    monkeypatch.setattr(PairMember, "_peer_synced", at_once)
     with pytest.raises(Broken, match="was sent by"):
         released_and_crashed()
 
 
 def side(**how):
-    return Side("a", BOUNDS, True, Standing(1, Mode.PAIRED), **how)
+    return PairMember("a", BOUNDS, True, Standing(1, Mode.PAIRED), **how)
 
 
 def test_no_time_lets_a_side_go_alone_only_the_witness_does():
@@ -146,40 +146,42 @@
     for now in range(1, 100):
         actions = it.handle(now * 10, Tick())
         assert all(isinstance(a, AskWitness) for a in actions)
-        assert it.handle(now * 10, Want(f"{now}", b"")) == []
+        assert it.handle(now * 10, SendRequested(f"{now}", b"")) == []
     assert it.standing == Standing(1, Mode.PAIRED)
 
 
 def test_what_the_witness_says_of_another_epoch_is_not_followed():
     it = side()
-    for verdict in (Verdict(0, "a"), Verdict(5, "a"), Verdict(1, "")):
-        assert it.handle(0, fence.Said(verdict)) == []
+    for verdict in (WitnessRecord(0, "a"), WitnessRecord(5, "a"), WitnessRecord(1, "")):
+        assert it.handle(0, fence.WitnessAnswered(verdict)) == []
 
 
 def test_an_order_is_refused_while_the_other_is_heard_and_to_a_new_store():
     assert isinstance(side(linked=True).handle(0, Promote())[0], Refusal)
-    assert isinstance(Side("a", BOUNDS, True).handle(0, Promote())[0], Refusal)
-    assert side().handle(0, Promote()) == [AskWitness(Ask("a", 1, True, True))]
+    assert isinstance(PairMember("a", BOUNDS, True).handle(0, Promote())[0], Refusal)
+    assert side().handle(0, Promote()) == [AskWitness(WitnessRequest("a", 1, True, True))]
 
 
 def test_claims_are_bounded():
-    it = Side("a", replace(BOUNDS, claims=2), True, Standing(1, Mode.PAIRED))
-    assert [type(a) for n in range(3) for a in it.handle(0, Want(str(n), b""))] == [Denied]
+    it = PairMember("a", replace(BOUNDS, claims=2), True, Standing(1, Mode.PAIRED))
+    assert [type(a) for n in range(3) for a in it.handle(0, SendRequested(str(n), b""))] == [Denied]
 
 
 def test_of_two_records_the_one_that_says_more_counts():
-    may, ran, never = (Memory(f, "c", "k", 1) for f in (Fate.MAY, Fate.RAN, Fate.NEVER))
+    may, ran, never = (
+        RequestRecord(f, "c", "k", 1) for f in (RunState.MAY_HAVE_RUN, RunState.RAN, RunState.NEVER_RAN)
+    )
     again = replace(may, attempts=2)
-    assert all(newer(one, None) for one in (may, ran, never))
-    assert newer(never, may) and newer(ran, may) and newer(again, never) and newer(ran, again)
-    assert not newer(may, may) and not newer(may, never) and not newer(never, again)
-    assert not any(newer(one, ran) for one in (may, never, again, ran))
+    assert all(is_newer(one, None) for one in (may, ran, never))
+    assert is_newer(never, may) and is_newer(ran, may) and is_newer(again, never) and is_newer(ran, again)
+    assert not is_newer(may, may) and not is_newer(may, never) and not is_newer(never, again)
+    assert not any(is_newer(one, ran) for one in (may, never, again, ran))
 
 
 # ---- the wire
 
 MESSAGES = [
-    wire.Alive(),
+    wire.Heartbeat(),
     fence.Hello(Standing(4, Mode.FENCED, True)),
     fence.Claim(1, 2, "id", b"\0x"),
     fence.ClaimAnswer(3, True),
@@ -187,17 +189,17 @@
     fence.SyncEnd(),
     fence.Synced(),
     fence.Rejoin(9),
-    Ask("a", 1, True, False),
-    Verdict(2, "b"),
-    wire.Status(),
-    wire.Order(),
-    wire.StandDown(),
+    WitnessRequest("a", 1, True, False),
+    WitnessRecord(2, "b"),
+    wire.StatusRequest(),
+    wire.PromoteRequest(),
+    wire.FailbackRequest(),
     wire.Report("é"),
 ]
 
 
 def ends():
-    return wire.Proof(b"k" * 32, b"1" * 16, b"2" * 16, True), wire.Proof(
+    return wire.FrameAuthenticator(b"k" * 32, b"1" * 16, b"2" * 16, True), wire.FrameAuthenticator(
         b"k" * 32, b"2" * 16, b"1" * 16, False
     )
 
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -15,24 +15,24 @@
 from loftroute.lab.standins import ROOT, Client, Unit, eventually, free_port
 from loftroute.moments import Stamp, elapsed
 from loftroute.recall.decisions import (
-    Do,
-    Fate,
-    Memory,
+    CallAction,
     Place,
-    Room,
-    Rules,
-    allowed,
+    RecallLimits,
+    RecallUsage,
+    RequestRecord,
+    RunState,
     decide,
-    intent,
-    outcome,
-    remains,
+    may_repeat_at,
+    repeat_time_left,
     unpack,
+    with_intent,
+    with_outcome,
 )
 from loftroute.store.time import resume
 
 MS, SECOND = 1_000_000, 1_000_000_000
-RULES = Rules(clock_step=SECOND // 10, max_requests=10, max_bytes=1000, max_attempts=3)
-ROOM = Room(0, 0, True)
+RULES = RecallLimits(clock_step=SECOND // 10, max_requests=10, max_bytes=1000, max_attempts=3)
+ROOM = RecallUsage(0, 0, True)
 NOW = Stamp(1000 * SECOND, 50 * SECOND, "boot")
 HERE = Place(0, 1, "u1")
 
@@ -42,7 +42,7 @@
 
 
 UNSAFE, KEYED = cls(Effect.UNSAFE), cls(Effect.KEYED, Group.ZONE)
-SENT = intent(None, "c", "k", HERE, NOW)
+SENT = with_intent(None, "c", "k", HERE, NOW)
 
 
 def later(length, boot="boot", wall=None):
@@ -53,41 +53,46 @@
 
 
 def test_a_new_request_is_sent_and_one_that_ran_is_answered_with_its_value():
-    assert decide(UNSAFE, "k", None, NOW, RULES, ROOM).do is Do.SEND
-    ran = outcome(SENT, None, Outcome.OK, b"value")
-    found = decide(UNSAFE, "k", ran, later(10**15), RULES, Room(10**9, 0, False))
-    assert (found.do, found.memory.value) == (Do.ANSWER, b"value")
+    assert decide(UNSAFE, "k", None, NOW, RULES, ROOM).do is CallAction.SEND
+    ran = with_outcome(SENT, None, Outcome.OK, b"value")
+    found = decide(UNSAFE, "k", ran, later(10**15), RULES, RecallUsage(10**9, 0, False))
+    assert (found.do, found.memory.value) == (CallAction.ANSWER, b"value")
 
 
 @pytest.mark.parametrize("end", [None, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR, Outcome.CANCELLED])
 def test_an_unsafe_request_that_may_have_run_is_failed(end):
-    known = outcome(SENT, None, end, None) if end else SENT
-    assert known.fate is Fate.MAY
-    assert decide(UNSAFE, "k", known, later(0), RULES, ROOM).do is Do.FAIL
+    known = with_outcome(SENT, None, end, None) if end else SENT
+    assert known.run_state is RunState.MAY_HAVE_RUN
+    assert decide(UNSAFE, "k", known, later(0), RULES, ROOM).do is CallAction.FAIL
 
 
 @pytest.mark.parametrize("end", [Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.MOOT])
 def test_what_never_ran_may_be_sent(end):
-    known = outcome(SENT, None, end, None)
-    assert decide(UNSAFE, "k", known, later(0), RULES, ROOM).do is Do.SEND
+    known = with_outcome(SENT, None, end, None)
+    assert decide(UNSAFE, "k", known, later(0), RULES, ROOM).do is CallAction.SEND
 
 
 def test_an_attempt_that_never_ran_takes_back_no_earlier_one_that_may_have():
-    second = intent(SENT, "c", "k", Place(0, 2, "u2"), later(SECOND))
-    known = outcome(second, SENT, Outcome.CONNECT_FAILED, None)
-    assert (known.fate, known.first, known.place, known.attempts) == (Fate.MAY, NOW, HERE, 2)
+    second = with_intent(SENT, "c", "k", Place(0, 2, "u2"), later(SECOND))
+    known = with_outcome(second, SENT, Outcome.CONNECT_FAILED, None)
+    assert (known.run_state, known.first, known.place, known.attempts) == (
+        RunState.MAY_HAVE_RUN,
+        NOW,
+        HERE,
+        2,
+    )
 
 
 def test_a_keyed_request_goes_again_only_inside_its_group_and_window():
     found = decide(KEYED, "k", SENT, later(SECOND), RULES, ROOM)
-    assert found.do is Do.AGAIN and 0 < found.left < SECOND
-    assert decide(KEYED, "k", SENT, later(2 * SECOND), RULES, ROOM).do is Do.FAIL
-    assert allowed(KEYED, SENT, Place(0, 7, "u3"), later(SECOND), RULES)
-    assert not allowed(KEYED, SENT, Place(1, 1, "u3"), later(SECOND), RULES)
-    assert not allowed(KEYED, SENT, HERE, later(2 * SECOND), RULES)
-    assert not allowed(UNSAFE, SENT, HERE, later(0), RULES)
+    assert found.do is CallAction.REPEAT and 0 < found.left < SECOND
+    assert decide(KEYED, "k", SENT, later(2 * SECOND), RULES, ROOM).do is CallAction.FAIL
+    assert may_repeat_at(KEYED, SENT, Place(0, 7, "u3"), later(SECOND), RULES)
+    assert not may_repeat_at(KEYED, SENT, Place(1, 1, "u3"), later(SECOND), RULES)
+    assert not may_repeat_at(KEYED, SENT, HERE, later(2 * SECOND), RULES)
+    assert not may_repeat_at(UNSAFE, SENT, HERE, later(0), RULES)
     cell = cls(Effect.KEYED, Group.CELL)
-    assert allowed(cell, SENT, Place(0, 1, "u9"), NOW, RULES) and not allowed(
+    assert may_repeat_at(cell, SENT, Place(0, 1, "u9"), NOW, RULES) and not may_repeat_at(
         cell, SENT, Place(0, 2, "u9"), NOW, RULES
     )
 
@@ -98,33 +103,44 @@
     assert elapsed(NOW, later(SECOND, wall=-3600 * SECOND), 0) == SECOND
     assert elapsed(NOW, later(5, "other", SECOND), SECOND // 10) == SECOND + SECOND // 10
     assert elapsed(NOW, later(5, "other", -1), SECOND // 10) is None
-    assert remains(KEYED, SENT, later(5, "other", -SECOND), RULES) == 0
-    assert remains(KEYED, SENT, later(5, "other", 1_800 * MS), RULES) < 100 * MS
-    assert remains(KEYED, SENT, later(5, "other", 1_900 * MS), RULES) <= 0
+    assert repeat_time_left(KEYED, SENT, later(5, "other", -SECOND), RULES) == 0
+    assert repeat_time_left(KEYED, SENT, later(5, "other", 1_800 * MS), RULES) < 100 * MS
+    assert repeat_time_left(KEYED, SENT, later(5, "other", 1_900 * MS), RULES) <= 0
 
 
 def test_an_id_that_comes_with_other_words_is_failed():
-    for known in (SENT, outcome(SENT, None, Outcome.OK, b"v"), outcome(SENT, None, Outcome.FULL, None)):
-        assert decide(KEYED, "other", known, NOW, RULES, ROOM).do is Do.FAIL
-        assert decide(replace(KEYED, name="d"), "k", known, NOW, RULES, ROOM).do is Do.FAIL
+    for known in (
+        SENT,
+        with_outcome(SENT, None, Outcome.OK, b"v"),
+        with_outcome(SENT, None, Outcome.FULL, None),
+    ):
+        assert decide(KEYED, "other", known, NOW, RULES, ROOM).do is CallAction.FAIL
+        assert decide(replace(KEYED, name="d"), "k", known, NOW, RULES, ROOM).do is CallAction.FAIL
 
 
 def test_at_the_bound_and_without_a_store_new_requests_are_refused_and_known_ones_answered():
-    for room in (Room(10, 0, True), Room(0, 1000, True), Room(0, 0, False)):
-        assert decide(UNSAFE, "k", None, NOW, RULES, room).do is Do.REFUSE
-        assert decide(UNSAFE, "k", SENT, NOW, RULES, room).do is Do.FAIL
-        assert decide(UNSAFE, "k", outcome(SENT, None, Outcome.OK, b""), NOW, RULES, room).do is Do.ANSWER
+    for room in (RecallUsage(10, 0, True), RecallUsage(0, 1000, True), RecallUsage(0, 0, False)):
+        assert decide(UNSAFE, "k", None, NOW, RULES, room).do is CallAction.REFUSE
+        assert decide(UNSAFE, "k", SENT, NOW, RULES, room).do is CallAction.FAIL
+        assert (
+            decide(UNSAFE, "k", with_outcome(SENT, None, Outcome.OK, b""), NOW, RULES, room).do
+            is CallAction.ANSWER
+        )
 
 
 def test_no_more_attempts_are_counted_over_restarts_than_allowed():
     known = SENT
     for _ in range(2):
-        known = intent(known, "c", "k", HERE, NOW)
-    assert decide(KEYED, "k", known, NOW, RULES, ROOM).do is Do.FAIL
+        known = with_intent(known, "c", "k", HERE, NOW)
+    assert decide(KEYED, "k", known, NOW, RULES, ROOM).do is CallAction.FAIL
 
 
 def test_a_record_comes_back_as_it_was_and_anything_else_is_an_error():
-    for known in (SENT, outcome(SENT, None, Outcome.OK, b"\xff\0"), Memory(Fate.NEVER, "c", "é", 2)):
+    for known in (
+        SENT,
+        with_outcome(SENT, None, Outcome.OK, b"\xff\0"),
+        RequestRecord(RunState.NEVER_RAN, "c", "é", 2),
+    ):
         assert unpack(known.pack()) == known
     for raw in (b"", b"x", b"\xc0", SENT.pack()[:-1], b"\x97\x09" + SENT.pack()[2:]):
         with pytest.raises(ValueError, match="not a record"):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -20,21 +20,21 @@
 from loftroute.store.engine import Engine
 from loftroute.store.plan import (
     Busy,
-    Full,
+    CompactionRun,
+    DurabilityUnknown,
     Limits,
     OnDamage,
     OnSyncError,
+    OutOfSpace,
     ReadOnly,
-    Run,
     TooLarge,
-    Unsure,
-    amplified,
+    exceeds_amplification,
 )
 from loftroute.store.records import (
     DELETE,
     HEADER_SIZE,
-    NAME,
     PUT,
+    SEGMENT_NAME,
     STORE_FILE,
     Damaged,
     NewerFormat,
@@ -295,7 +295,7 @@
     engine, space = filled(disk, 3)
     name = engine.active.header.name
     disk.fail = fails("sync", 1)
-    assert isinstance(put(engine, space, b"lost", b"x"), Unsure)
+    assert isinstance(put(engine, space, b"lost", b"x"), DurabilityUnknown)
     disk.fail = lambda call, name: None
     before = len(disk.log)
     assert put(engine, space, b"kept", b"y") is None
@@ -309,7 +309,7 @@
     disk = Disk(random.Random(1))
     engine, space = filled(disk, 3, replace(PLAIN, on_sync_error=OnSyncError.STOP))
     disk.fail = fails("sync", 1)
-    assert isinstance(put(engine, space, b"a"), Unsure)
+    assert isinstance(put(engine, space, b"a"), DurabilityUnknown)
     with pytest.raises(ReadOnly, match="sync failed"):
         put(engine, space, b"b")
     assert state(engine, space)
@@ -351,7 +351,7 @@
     wanted = state(engine, space)
     disk.fail = fails("write", 1, kind)
     problem = put(engine, space, b"half", b"z" * 300)
-    assert isinstance(problem, Full if kind == errno.ENOSPC else StoreError)
+    assert isinstance(problem, OutOfSpace if kind == errno.ENOSPC else StoreError)
     assert state(start(disk.killed())[0], space) == wanted
     disk = disk.killed()
     engine, space = start(disk)
@@ -367,13 +367,13 @@
         put(engine, space, b"k%d" % (n % 8), b"v%d" % n + b"x" * 30)
     wanted = state(engine, space)
     disk.capacity = disk.used()
-    assert isinstance(put(engine, space, b"more", b"y" * 100), Full)
+    assert isinstance(put(engine, space, b"more", b"y" * 100), OutOfSpace)
     assert state(engine, space) == wanted
     run = engine.compaction_due()
     drive(engine.compact(run, 0))
     assert engine.counters.compactions == 1 and RESERVE_FILE not in disk.names
     assert put(engine, space, b"more", b"y" * 100) is None
-    engine.tend()
+    engine.restore_reserve()
     assert RESERVE_FILE in disk.names
     assert state(start(disk.crash())[0], space) == {**wanted, b"more": b"y" * 100}
 
@@ -390,7 +390,7 @@
             engine.submit([op], lambda _: None)
     with pytest.raises(TooLarge):
         engine.submit([Op(PUT, space, b"k", b"v" * 300)] * 3, lambda _: None)
-    with pytest.raises((Full, Busy)):
+    with pytest.raises((OutOfSpace, Busy)):
         for n in range(50):
             engine.submit([Op(PUT, space, b"%d" % n, b"v" * 200)], lambda _: None)
     assert state(engine, space) == {}
@@ -500,11 +500,11 @@
         if n % 100 == 0:
             drive(engine.sweep(n))
         if n > 1000:
-            live = engine.active.end + sum(s.live for s in engine.sealed)
+            live = engine.active.end + sum(s.live_bytes for s in engine.sealed)
             worst = max(worst, (engine.used - limits.segment) / live)
     assert worst <= 2.35, worst  # one segment's garbage may come before the next look
     assert engine.counters.compacted_bytes < 2.0 * engine.counters.appended_bytes
-    assert not amplified(engine.sealed, engine.active.end, replace(limits, amplification=2.5))
+    assert not exceeds_amplification(engine.sealed, engine.active.end, replace(limits, amplification=2.5))
 
 
 def test_a_follower_that_comes_back_at_a_compacted_number_is_told_so():
@@ -583,7 +583,7 @@
         k: v for k, v in wanted.items() if not k.startswith(b"again")
     }
     assert all(
-        not NAME.fullmatch(n) or n in {s.header.name for s in again.state.segments.values()}
+        not SEGMENT_NAME.fullmatch(n) or n in {s.header.name for s in again.state.segments.values()}
         for n in again.directory.names()
     )
 
@@ -606,18 +606,18 @@
 def test_left_over_bytes_of_a_longer_write_never_pass_for_frames():
     """Frames are linked: what an earlier write left behind at the same offsets does not go on the new
     ones."""
-    from loftroute.store.plan import walk
-    from loftroute.store.records import LOG, Header, frame, payload
+    from loftroute.store.plan import parse_frames_to_end
+    from loftroute.store.records import LOG, Header, pack_frame, pack_ops
 
     header = Header(LOG, 1, 1, 0, 0, 0, ID)
     old, link = [], header.seed
     for n in range(2):
-        raw, link = frame(header.seed, link, n + 1, 0, 5, payload([Op(PUT, 1, b"k%d" % n, b"old")]))
+        raw, link = pack_frame(header.seed, link, n + 1, 0, 5, pack_ops([Op(PUT, 1, b"k%d" % n, b"old")]))
         old.append(raw)
-    new, _ = frame(header.seed, header.seed, 1, 0, 6, payload([Op(PUT, 1, b"k0", b"new")]))
+    new, _ = pack_frame(header.seed, header.seed, 1, 0, 6, pack_ops([Op(PUT, 1, b"k0", b"new")]))
     data = header.pack() + new + old[1]
     assert len(new) == len(old[0])
-    frames, end = walk(data, header, 4096, HEADER_SIZE, 1, header.seed)
+    frames, end = parse_frames_to_end(data, header, 4096, HEADER_SIZE, 1, header.seed)
     assert len(frames) == 1 and end == HEADER_SIZE + len(new)
 
 
@@ -631,14 +631,14 @@
     drive(engine.commit(0))
     for n in range(5):
         put(engine, space, b"c%d" % n, b"x" * 500)
-    place = next(n for n, s in enumerate(engine.sealed) if s.deletions)
+    place = next(n for n, s in enumerate(engine.sealed) if s.deletion_bytes)
     assert place > 0
-    drive(engine.compact(Run(place, place, "test"), 0))
+    drive(engine.compact(CompactionRun(place, place, "test"), 0))
     assert engine.counters.compactions == 1
     again, space = start(disk.crash(), replace(PLAIN, checkpoint_keys=1 << 30))
     assert b"gone" not in state(again, space)
-    drive(again.compact(Run(0, len(again.sealed) - 1, "test"), 0))
-    assert sum(s.deletions for s in again.sealed) == 0 and b"gone" not in state(again, space)
+    drive(again.compact(CompactionRun(0, len(again.sealed) - 1, "test"), 0))
+    assert sum(s.deletion_bytes for s in again.sealed) == 0 and b"gone" not in state(again, space)
 
 
 def test_batches_that_share_a_frame_never_make_it_longer_than_what_is_read_back():
