Pair: one handshake without I/O for relay, witness and command line

Connection.greet and the command line each packed a greeting, read the other's and made the two proofs; the command line did not look for an unknown key or for itself at the other end. wire.Handshake does all of it from bytes to a Session (peer, outward, inward), the callers carry the bytes. Tests without sockets: both keys, a frame sent back to its sender, a greeting of oneself, unknown key, a key of the same number that differs, garbage.

--- a/loftroute/cli/pair.py
+++ b/loftroute/cli/pair.py
@@ -12,6 +12,9 @@
 from loftroute.settings.reading import SettingsError, load
 from loftroute.vrrp.keyring import KeyFileError, read
 
+OPERATOR = "operator"  # the name that the command line greets with
+TIMEOUT = 10.0  # seconds for the relay to answer
+
 option = click.option(
     "--settings", "path", required=True, type=click.Path(), help="The relay's own settings."
 )
@@ -32,20 +35,26 @@
         keys = read(product.message.pair.key_file)
     except KeyFileError as problem:
         raise SettingsError(f"{path}: pair.key_file: {problem}") from problem
-    nonce = secrets.token_bytes(wire.NONCE_SIZE)
-    with socket.create_connection((host, int(port)), timeout=10) as sock:
-        sock.sendall(wire.greeting("operator", nonce, keys.sealing))
-        data = bytearray()
-        _, theirs, number = wire.greeted(_frame(sock, data))
-        outward = wire.FrameAuthenticator(keys.known[keys.sealing], nonce, theirs, True)
-        inward = wire.FrameAuthenticator(keys.known[number], nonce, theirs, False)
-        sock.sendall(outward.seal(message))
-        answer = inward.open(_frame(sock, data))
+    handshake = wire.Handshake(OPERATOR, secrets.token_bytes(wire.NONCE_SIZE), keys)
+    try:
+        with socket.create_connection((host, int(port)), timeout=TIMEOUT) as sock:
+            answer = _exchange(sock, handshake, message)
+    except ProtocolError as problem:
+        raise click.ClickException(str(problem)) from problem
     if not isinstance(answer, wire.Report):
         raise click.ClickException("the relay said something else")
     return answer.text
 
 
+def _exchange(sock: socket.socket, handshake: wire.Handshake, message: object) -> object:
+    """Greet, send one message and receive its answer; raises `ProtocolError` or `OSError`."""
+    data = bytearray()
+    sock.sendall(handshake.greeting.pack())
+    session = handshake.complete(_frame(sock, data))
+    sock.sendall(session.outward.seal(message))
+    return session.inward.open(_frame(sock, data))
+
+
 def _frame(sock: socket.socket, data: bytearray) -> bytes:
     while True:
         try:
--- a/loftroute/lab/pairs.py
+++ b/loftroute/lab/pairs.py
@@ -22,6 +22,7 @@
 
 import click
 
+from loftroute.lab.command import command
 from loftroute.lab.kills import Counting
 from loftroute.lab.network import Lossy, Switch, Way
 from loftroute.lab.standins import ROOT, Client, Relay, eventually, free_port
@@ -122,25 +123,13 @@
 
     def status(self, n: int) -> dict[str, object]:
         """As `loftroute pair status --json` tells; empty while the relay does not answer."""
-        found = subprocess.run(
-            [
-                sys.executable,
-                "-B",
-                "-m",
-                "loftroute",
-                "pair",
-                "status",
-                "--json",
-                "--settings",
-                str(self.relays[n].tmp / "product.textproto"),
-            ],
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=30,
-        )
+        found = self.command(n, "status", "--json")
         return json.loads(found.stdout) if found.returncode == 0 else {}
 
+    def command(self, n: int, *words: str) -> subprocess.CompletedProcess[str]:
+        """Run `loftroute pair WORDS…` with the settings of relay n."""
+        return command("pair", *words, "--settings", str(self.relays[n].tmp / "product.textproto"))
+
     def both(self, mode: str = "paired", within: float = 15.0) -> None:
         eventually(
             lambda: all(self.status(n).get("mode") == mode and self.status(n)["may_send"] for n in (0, 1)),
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -76,36 +76,33 @@
 
     def __init__(self, scheduler: Scheduler, stream: Stream, name: str, keys: Keys) -> None:
         self._scheduler, self._stream = scheduler, stream
-        self._name, self._keys, self._nonce = name, keys, os.urandom(wire.NONCE_SIZE)
-        self.peer = ""
-        self._out: wire.FrameAuthenticator | None = None
-        self._in: wire.FrameAuthenticator | None = None
+        self._handshake = wire.Handshake(name, os.urandom(wire.NONCE_SIZE), keys)
+        self._session: wire.Session | None = None
+
+    @property
+    def peer(self) -> str:
+        """The other side's name; empty until it has greeted."""
+        return self._session.peer if self._session else ""
 
     def greet(self, until: int) -> None:
         """Both say who they are; raises `Closed`, `Expired` or `ProtocolError`."""
-        self._stream.send_all([wire.greeting(self._name, self._nonce, self._keys.sealing)], until)
-        self.peer, theirs, number = wire.greeted(self._stream.receive(wire.frame, until))
-        if self.peer == self._name or theirs == self._nonce:
-            raise ProtocolError("greeted by itself")
-        if number not in self._keys.known:
-            raise ProtocolError(f"unknown key {number}")
-        self._out = wire.FrameAuthenticator(self._keys.known[self._keys.sealing], self._nonce, theirs, True)
-        self._in = wire.FrameAuthenticator(self._keys.known[number], self._nonce, theirs, False)
+        self._stream.send_all([self._handshake.greeting.pack()], until)
+        self._session = self._handshake.complete(self._stream.receive(wire.frame, until))
 
     def send(self, message: object) -> None:
-        assert self._out is not None
+        assert self._session is not None
         if not self._stream.closed:
-            self._stream.write([self._out.seal(message)])
+            self._stream.write([self._session.outward.seal(message)])
 
     def receive(self, until: int) -> object:
-        assert self._in is not None
+        assert self._session is not None
         while True:
             if self._stream.unsent:
                 self._stream.flush()
                 if self._stream.unsent > UNSENT_LIMIT:
                     raise Closed("the other side does not read")
             try:
-                return self._in.open(
+                return self._session.inward.open(
                     self._stream.receive(
                         wire.frame,
                         min(until, self._scheduler.clock.now() + 20 * MS) if self._stream.unsent else until,
--- a/loftroute/pair/wire.py
+++ b/loftroute/pair/wire.py
@@ -8,7 +8,7 @@
 
 import hmac
 import struct
-from dataclasses import astuple
+from dataclasses import astuple, dataclass
 
 import msgpack
 
@@ -26,10 +26,12 @@
     WitnessRequest,
 )
 from loftroute.protocol import NeedMore, ProtocolError
+from loftroute.vrrp.envelope import Keys
 
 LENGTH = struct.Struct("!I")
 PROOF_SIZE, NONCE_SIZE = 16, 16
 FRAME_LIMIT = 1 << 20  # bytes of a frame
+NAME_LIMIT = 64  # characters of a side's name
 
 
 class Heartbeat:
@@ -127,22 +129,30 @@
     return bytes(data[at : at + size]), at + size
 
 
-def greeting(name: str, nonce: bytes, key: int) -> bytes:
-    """Who speaks, and the number of the key that it proves itself with."""
-    raw = msgpack.packb((name, nonce, key))
-    return LENGTH.pack(len(raw)) + bytes(raw)
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """The first frame of each side; it has no proof yet."""
 
+    name: str
+    nonce: bytes
+    key: int  # the number of the key that the side proves itself with
 
-def greeted(raw: bytes) -> tuple[str, bytes, int]:
-    """The other side's name, nonce and key number."""
+    def pack(self) -> bytes:
+        """The frame, with its length."""
+        raw = bytes(msgpack.packb((self.name, self.nonce, self.key)))
+        return LENGTH.pack(len(raw)) + raw
+
+
+def unpack_greeting(raw: bytes) -> Greeting:
+    """A greeting from its frame without the length; raises `ProtocolError` where it is none."""
     try:
         name, nonce, key = msgpack.unpackb(raw)
     except (ValueError, TypeError, msgpack.UnpackException) as problem:
         raise ProtocolError("not a greeting") from problem
     right = isinstance(name, str) and isinstance(nonce, bytes) and isinstance(key, int)
-    if not right or len(nonce) != NONCE_SIZE or len(name) > 64:
+    if not right or len(nonce) != NONCE_SIZE or len(name) > NAME_LIMIT:
         raise ProtocolError("not a greeting")
-    return name, nonce, key
+    return Greeting(name, nonce, key)
 
 
 class FrameAuthenticator:
@@ -166,3 +176,36 @@
     def _of(self, raw: bytes) -> bytes:
         self._number += 1
         return hmac.digest(self._key, self._number.to_bytes(8, "big") + raw, "sha256")[:PROOF_SIZE]
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """A connection after its greetings: who is at the other end, and the proofs of both directions."""
+
+    peer: str
+    outward: FrameAuthenticator
+    inward: FrameAuthenticator
+
+
+class Handshake:
+    """One side's part of the greeting. The nonce is drawn by the caller, anew for each connection."""
+
+    def __init__(self, name: str, nonce: bytes, keys: Keys) -> None:
+        """`nonce` has `NONCE_SIZE` bytes."""
+        self.greeting = Greeting(name, nonce, keys.sealing)
+        self._keys = keys
+
+    def complete(self, raw: bytes) -> Session:
+        """Take the other side's greeting, a frame without its length.
+
+        Raises `ProtocolError` where it is none, comes from this side itself or names an unknown key. That the
+        other side has the key shows only with its first authenticated frame.
+        """
+        mine, theirs = self.greeting, unpack_greeting(raw)
+        if theirs.name == mine.name or theirs.nonce == mine.nonce:
+            raise ProtocolError("greeted by itself")
+        if theirs.key not in self._keys.known:
+            raise ProtocolError(f"unknown key {theirs.key}")
+        outward = FrameAuthenticator(self._keys.known[mine.key], mine.nonce, theirs.nonce, True)
+        inward = FrameAuthenticator(self._keys.known[theirs.key], mine.nonce, theirs.nonce, False)
+        return Session(theirs.name, outward, inward)
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -6,8 +6,6 @@
 import random
 import resource
 import signal
-import subprocess
-import sys
 import threading
 import time
 from dataclasses import replace
@@ -16,9 +14,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from loftroute.lab.command import command
 from loftroute.lab.pair_model import BOUNDS, Broken, World, explore, wander
 from loftroute.lab.pairs import Duo, play
-from loftroute.lab.standins import ROOT, Relay, eventually
+from loftroute.lab.standins import Relay, eventually
 from loftroute.pair import fence, wire
 from loftroute.pair.fence import (
     AskWitness,
@@ -37,6 +36,7 @@
 )
 from loftroute.protocol import NeedMore, ProtocolError
 from loftroute.recall.decisions import RequestRecord, RunState, is_newer
+from loftroute.vrrp.envelope import Keys
 
 # ---- the fence as a model
 
@@ -220,11 +220,56 @@
 @given(st.binary(max_size=100))
 @settings(max_examples=200, deadline=None, derandomize=True, database=None)
 def test_garbage_on_the_wire_raises_nothing_but_its_own_error(raw):
-    for read in (wire.unpack, wire.greeted, lambda data: wire.frame(bytearray(data), 0, len(data))):
+    for read in (wire.unpack, wire.unpack_greeting, lambda data: wire.frame(bytearray(data), 0, len(data))):
         with contextlib.suppress(ProtocolError, NeedMore):
             read(raw)
 
 
+KEYS = Keys(1, {1: b"k" * 32, 2: b"j" * 32})
+
+
+def handshake(name, nonce=b"1" * 16, keys=KEYS):
+    return wire.Handshake(name, nonce, keys)
+
+
+def greeting_of(side):
+    raw = side.greeting.pack()
+    return wire.frame(bytearray(raw), 0, len(raw))[0]
+
+
+@pytest.mark.parametrize("sealing", [1, 2])
+def test_two_sides_that_greeted_read_each_other_and_each_seals_with_its_own_key(sealing):
+    left, right = handshake("a"), handshake("b", b"2" * 16, Keys(sealing, KEYS.known))
+    at_left, at_right = left.complete(greeting_of(right)), right.complete(greeting_of(left))
+    assert (at_left.peer, at_right.peer) == ("b", "a")
+    for sender, receiver in ((at_left, at_right), (at_right, at_left)):
+        raw = sender.outward.seal(wire.Report("x"))
+        assert receiver.inward.open(raw[wire.LENGTH.size :]).text == "x"
+
+
+def test_a_frame_that_is_sent_back_to_its_sender_is_found_out():
+    session = handshake("a").complete(greeting_of(handshake("b", b"2" * 16)))
+    raw = session.outward.seal(wire.Heartbeat())
+    with pytest.raises(ProtocolError, match="wrong proof"):
+        session.inward.open(raw[wire.LENGTH.size :])
+
+
+def test_a_greeting_of_oneself_an_unknown_key_and_another_key_of_that_number_are_found_out():
+    me = handshake("a")
+    for other in (handshake("a", b"2" * 16), handshake("b")):
+        with pytest.raises(ProtocolError, match="greeted by itself"):
+            me.complete(greeting_of(other))
+    with pytest.raises(ProtocolError, match="unknown key 3"):
+        me.complete(greeting_of(handshake("b", b"2" * 16, Keys(3, {3: b"k" * 32}))))
+    for raw in (b"", b"\xc0", b"x" * 40, wire.Greeting("n" * (wire.NAME_LIMIT + 1), b"2" * 16, 1).pack()[4:]):
+        with pytest.raises(ProtocolError, match="not a greeting"):
+            me.complete(raw)
+    stranger = handshake("b", b"2" * 16, Keys(1, {1: b"x" * 32}))
+    forged = stranger.complete(greeting_of(me)).outward.seal(wire.Heartbeat())
+    with pytest.raises(ProtocolError, match="wrong proof"):
+        me.complete(greeting_of(stranger)).inward.open(forged[4:])
+
+
 # ---- two relays, a witness, a switch
 
 
@@ -295,22 +340,7 @@
         way.cut()
 
     def order(n):
-        return subprocess.run(
-            [
-                sys.executable,
-                "-B",
-                "-m",
-                "loftroute",
-                "pair",
-                "promote",
-                "--settings",
-                str(it.relays[n].tmp / "product.textproto"),
-            ],
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=30,
-        )
+        return it.command(n, "promote")
 
     heard = order(1)
     assert heard.returncode == 1 and "is heard" in heard.stdout
@@ -422,21 +452,7 @@
         unit._delay = 0.3
     client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
     eventually(lambda: it.runs().get(name))
-    done = subprocess.run(
-        [
-            sys.executable,
-            "-B",
-            "-m",
-            "loftroute",
-            "pair",
-            "failback",
-            "--settings",
-            str(it.relays[0].tmp / "product.textproto"),
-        ],
-        cwd=ROOT,
-        capture_output=True,
-        timeout=30,
-    )
+    done = it.command(0, "failback")
     assert done.returncode == 0
     eventually(lambda: it.switch.holders == {it.at(1)})
     assert (
@@ -515,13 +531,7 @@
 def test_settings_that_clash_are_named(tmp_path, text, says):
     path = tmp_path / "s.textproto"
     path.write_text(text)
-    found = subprocess.run(
-        [sys.executable, "-B", "-m", "loftroute", "check-settings", str(path)],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=30,
-    )
+    found = command("check-settings", str(path))
     assert found.returncode == 2 and says in found.stderr and f"{path}:" in found.stderr, found.stderr
 
 
@@ -534,12 +544,6 @@
         f'witness {{ directory: "{tmp_path / "w"}" listen: "127.0.0.1:5" name: "a" name: "b" '
         f'key_file: "{keys}" }}'
     )
-    found = subprocess.run(
-        [sys.executable, "-B", "-m", "loftroute", "witness", "--settings", str(path)],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=30,
-    )
+    found = command("witness", "--settings", str(path))
     assert found.returncode == 2 and "mode 600" in found.stderr
     assert json.dumps(found.stderr)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -1,8 +1,6 @@
 """Recall: what a repeated call does, decided and over loopback, through kills and a store that fails."""
 
 import json
-import subprocess
-import sys
 import threading
 import time
 from dataclasses import replace
@@ -11,8 +9,9 @@
 
 from loftroute.decision.interface import Effect, Group, Outcome, RequestClass
 from loftroute.lab import kills
+from loftroute.lab.command import command
 from loftroute.lab.setup import setup
-from loftroute.lab.standins import ROOT, Client, Unit, eventually, free_port
+from loftroute.lab.standins import Client, Unit, eventually, free_port
 from loftroute.moments import Stamp, elapsed
 from loftroute.recall.decisions import (
     CallAction,
@@ -294,12 +293,11 @@
 
 def test_two_relays_do_not_share_a_store(relay, tmp_path):
     it = relay({"u1": Unit()}, product=product(tmp_path))
-    second = subprocess.run(
-        [sys.executable, "-B", "-m", "loftroute", "run", "--settings", str(tmp_path / "product.textproto")],
-        cwd=ROOT,
+    second = command(
+        "run",
+        "--settings",
+        str(tmp_path / "product.textproto"),
         env={"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_LISTEN": f"127.0.0.1:{free_port()}"},
-        capture_output=True,
-        text=True,
         timeout=20,
     )
     assert second.returncode == 2 and f"in use by process {it.process.pid}" in second.stderr
@@ -322,16 +320,6 @@
 # ---- the command line
 
 
-def command(*words):
-    return subprocess.run(
-        [sys.executable, "-B", "-m", "loftroute", *words],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=30,
-    )
-
-
 def test_the_store_can_be_looked_into_backed_up_while_in_use_and_restored(relay, tmp_path):
     it = relay({"u1": Unit()}, product=product(tmp_path))
     store, backup, back = (str(tmp_path / n) for n in ("store", "backup", "back"))
@@ -430,12 +418,11 @@
             }
         )
     )
-    found = subprocess.run(
-        [sys.executable, "-B", "-m", "loftroute", "run", "--settings", str(path)],
-        cwd=ROOT,
+    found = command(
+        "run",
+        "--settings",
+        str(path),
         env={"RELAY_CONFIG": str(config)},
-        capture_output=True,
-        text=True,
         timeout=20,
     )
     assert found.returncode == 2 and "notes.txt" in found.stderr
