--- a/loftroute/lab/pair_model.py
+++ b/loftroute/lab/pair_model.py
@@ -11,34 +11,27 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from loftroute.pair import fence
-from loftroute.pair.fence import (
+from loftroute.pair.events import (
     AskWitness,
-    Claim,
     Denied,
+    Event,
     FlushRecords,
     Granted,
     LinkDown,
     LinkUp,
     MessageReceived,
-    Mirror,
-    Mode,
-    PairLimits,
-    PairMember,
     RecordStored,
     SendMessage,
     SendRecords,
     SendRequested,
-    Standing,
     StandingStored,
     StoreRecord,
     StoreStanding,
-    SyncEnd,
     Tick,
-    Witness,
     WitnessAnswered,
-    WitnessRecord,
 )
+from loftroute.pair.fence import PairLimits, PairMember, Witness
+from loftroute.pair.messages import Claim, Mirror, Mode, Standing, SyncEnd, WitnessRecord
 
 BOUNDS = PairLimits(heartbeat_timeout=1, retry_interval=0)
 MAY = b"may"
@@ -210,7 +203,7 @@
 
     # ---- actions
 
-    def _run(self, name: str, event: fence.Event) -> None:
+    def _run(self, name: str, event: Event) -> None:
         node = self.nodes[name]
         for action in node.side.handle(self.now, event):
             if isinstance(action, SendMessage):
--- a/loftroute/pair/fence.py
+++ b/loftroute/pair/fence.py
@@ -12,240 +12,42 @@
 """
 
 from dataclasses import dataclass, field
-from enum import Enum
-
-
-class Mode(Enum):
-    NEW = "new"  # an empty store: it knows nothing of the past
-    PAIRED = "paired"
-    ALONE = "alone"
-    FENCED = "fenced"
-
-
-@dataclass(frozen=True, slots=True)
-class Standing:
-    """What a side keeps on disk."""
-
-    epoch: int = 0
-    mode: Mode = Mode.NEW
-    # Fenced: it has all records of the side that is alone. Alone: the other has all, and each claim goes to
-    # it too until the witness has written the pair down.
-    synced: bool = False
-
-
-# ---- what the sides tell each other, in order over one connection
-
-
-@dataclass(frozen=True, slots=True)
-class Hello:
-    standing: Standing
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """I am about to send this id; the record says what may have run."""
-
-    epoch: int
-    number: int
-    id: str
-    record: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimAnswer:
-    number: int
-    taken: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Mirror:
-    """What became of an id, or what the other side lacks."""
-
-    id: str
-    record: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class SyncEnd:
-    """All records up to the connection's beginning were sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class Synced:
-    """All of them are safe here."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rejoin:
-    """The pair is one again in this epoch."""
-
-    epoch: int
-
-
-Message = Hello | Claim | ClaimAnswer | Mirror | SyncEnd | Synced | Rejoin
-
-
-# ---- what a side asks of the witness, and what that says
-
-
-@dataclass(frozen=True, slots=True)
-class WitnessRequest:
-    """`alone`: may I go on alone after this epoch; else: I am alone in it, and the pair is one again.
-    `order`: an operator says that the other is lost."""
-
-    name: str
-    epoch: int
-    alone: bool
-    order: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class WitnessRecord:
-    """The witness's record: who is alone in this epoch, empty for the pair."""
-
-    epoch: int
-    holder: str
-
-
-# ---- events and actions
-
-
-@dataclass(frozen=True, slots=True)
-class LinkUp: ...
-
-
-@dataclass(frozen=True, slots=True)
-class LinkDown: ...
-
-
-@dataclass(frozen=True, slots=True)
-class MessageReceived:
-    message: Message
-    conflict: bool = False  # for a claim: this side has the id open, or knows more of it
-
-
-@dataclass(frozen=True, slots=True)
-class WitnessAnswered:
-    """The witness's answer."""
-
-    verdict: WitnessRecord
-
-
-@dataclass(frozen=True, slots=True)
-class SendRequested:
-    """This side's own intent is safe; may it be sent?"""
-
-    id: str
-    record: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class RequestEnded:
-    """The request ended before an answer to its claim came."""
-
-    id: str
-
-
-@dataclass(frozen=True, slots=True)
-class RecordStored:
-    """A record of the peer is safe; `number` is its claim's, 0 for the end of the records sent at the
-    start."""
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class StandingStored:
-    standing: Standing
-
-
-@dataclass(frozen=True, slots=True)
-class Tick: ...
-
-
-@dataclass(frozen=True, slots=True)
-class Promote:
-    """An operator's order to go on alone."""
-
-
-Event = (
-    LinkUp
-    | LinkDown
-    | MessageReceived
-    | WitnessAnswered
-    | SendRequested
-    | RequestEnded
-    | RecordStored
-    | StandingStored
-    | Tick
-    | Promote
+from typing import NamedTuple
+
+from loftroute.pair.events import (
+    Action,
+    AskWitness,
+    Denied,
+    Event,
+    FlushRecords,
+    Granted,
+    LinkDown,
+    LinkUp,
+    MessageReceived,
+    Promote,
+    RecordStored,
+    Refusal,
+    RequestEnded,
+    SendMessage,
+    SendRecords,
+    SendRequested,
+    StandingStored,
+    StoreRecord,
+    StoreStanding,
+    WitnessAnswered,
 )
-
-
-@dataclass(frozen=True, slots=True)
-class SendMessage:
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class AskWitness:
-    ask: WitnessRequest
-
-
-@dataclass(frozen=True, slots=True)
-class StoreRecord:
-    """Store a record of the peer, then say `RecordStored`."""
-
-    id: str
-    record: bytes
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreStanding:
-    standing: Standing
-
-
-@dataclass(frozen=True, slots=True)
-class SendRecords:
-    """Send the peer what it lacks, as `Mirror`s, then `SyncEnd`."""
-
-
-@dataclass(frozen=True, slots=True)
-class FlushRecords:
-    """All records sent so far are to be safe, then say `RecordStored(0)`."""
-
-
-@dataclass(frozen=True, slots=True)
-class Granted:
-    id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Denied:
-    """It must not be sent; nothing of it was."""
-
-    id: str
-    why: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """To an operator."""
-
-    why: str
-
-
-Action = (
-    SendMessage
-    | AskWitness
-    | StoreRecord
-    | StoreStanding
-    | SendRecords
-    | FlushRecords
-    | Granted
-    | Denied
-    | Refusal
+from loftroute.pair.messages import (
+    Claim,
+    ClaimAnswer,
+    Hello,
+    Mirror,
+    Mode,
+    Rejoin,
+    Standing,
+    Synced,
+    SyncEnd,
+    WitnessRecord,
+    WitnessRequest,
 )
 
 
@@ -258,6 +60,13 @@
     claims: int = 10_000  # waiting for the peer at once
 
 
+class PendingClaim(NamedTuple):
+    """A claim that the peer has not answered."""
+
+    id: str
+    record: bytes
+
+
 @dataclass(slots=True)
 class PairMember:
     """One relay of the pair."""
@@ -270,7 +79,7 @@
     peer: Standing | None = None
     down_since: int = 0
     asked_at: int = -(1 << 62)
-    claims: dict[int, tuple[str, bytes]] = field(default_factory=dict)
+    claims: dict[int, PendingClaim] = field(default_factory=dict)  # by number
     number: int = 0
     persisting: Standing | None = None
     complete: bool = False  # rejoining: the peer has all, also what was granted alone until then
@@ -283,7 +92,7 @@
         if isinstance(event, SendRequested):
             return self._send_requested(event)
         if isinstance(event, RequestEnded):
-            self.claims = {n: claim for n, claim in self.claims.items() if claim[0] != event.id}
+            self.claims = {n: claim for n, claim in self.claims.items() if claim.id != event.id}
             return []
         if isinstance(event, RecordStored):
             return self._record_stored(event)
@@ -336,12 +145,12 @@
         if len(self.claims) >= self.bounds.claims:
             return [Denied(event.id, "too many claims wait")]
         self.number += 1
-        self.claims[self.number] = (event.id, event.record)
+        self.claims[self.number] = PendingClaim(event.id, event.record)
         return [self._tell_claim(self.number)] if self.linked and self.peer is not None else []
 
     def _tell_claim(self, number: int) -> Action:
-        name, record = self.claims[number]
-        return SendMessage(Claim(self.standing.epoch, number, name, record))
+        claim = self.claims[number]
+        return SendMessage(Claim(self.standing.epoch, number, claim.id, claim.record))
 
     def _claimed(self, claim: Claim, conflict: bool) -> list[Action]:
         """Taken only in the epoch that it was made in, and where this side knows nothing that speaks against
@@ -357,8 +166,8 @@
         if claim is None:
             return []
         if answer.taken:
-            return [Granted(claim[0])]
-        return [Denied(claim[0], "the other relay did not take the claim")]
+            return [Granted(claim.id)]
+        return [Denied(claim.id, "the other relay did not take the claim")]
 
     def _record_stored(self, event: RecordStored) -> list[Action]:
         if event.number:
@@ -468,7 +277,8 @@
     def _settle_claims(self, granted: bool) -> list[Action]:
         claims, self.claims = self.claims, {}
         return [
-            Granted(name) if granted else Denied(name, "this relay was fenced") for name, _ in claims.values()
+            Granted(claim.id) if granted else Denied(claim.id, "this relay was fenced")
+            for claim in claims.values()
         ]
 
     # ---- going on alone
@@ -545,7 +355,7 @@
 class Witness:
     """The third, small process: one record, safe on disk before it is told."""
 
-    record: WitnessRecord = WitnessRecord(0, "")
+    record: WitnessRecord = field(default_factory=lambda: WitnessRecord(0, ""))
 
     def asked(self, ask: WitnessRequest) -> WitnessRecord:
         """What the record should be after a question; the caller makes it safe, sets `record`, then
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -3,7 +3,6 @@
 Who may send what is decided in `pair/fence.py`; this carries its messages and does what it says.
 """
 
-import os
 from collections import Counter, deque
 from collections.abc import Callable, Iterator, Mapping
 from functools import partial
@@ -12,11 +11,11 @@
 import msgpack
 from loguru import logger
 
-from loftroute.pair import fence, wire
-from loftroute.pair.fence import (
+from loftroute.pair import wire
+from loftroute.pair.connection import UNSENT_LIMIT, Connection
+from loftroute.pair.events import (
     Action,
     AskWitness,
-    Claim,
     Denied,
     Event,
     FlushRecords,
@@ -24,10 +23,6 @@
     LinkDown,
     LinkUp,
     MessageReceived,
-    Mirror,
-    Mode,
-    PairLimits,
-    PairMember,
     Promote,
     RecordStored,
     Refusal,
@@ -35,13 +30,21 @@
     SendMessage,
     SendRecords,
     SendRequested,
-    Standing,
     StandingStored,
     StoreRecord,
     StoreStanding,
-    SyncEnd,
     Tick,
     WitnessAnswered,
+)
+from loftroute.pair.fence import PairLimits, PairMember
+from loftroute.pair.messages import (
+    Claim,
+    ClaimAnswer,
+    Message,
+    Mirror,
+    Mode,
+    Standing,
+    SyncEnd,
     WitnessRecord,
     WitnessRequest,
 )
@@ -53,13 +56,11 @@
 from loftroute.store.plan import Refused
 from loftroute.store.records import PUT, Op, StoreError
 from loftroute.store.writer import Done
-from loftroute.vrrp.envelope import Keys
 from loftroute.vrrp.keyring import Keyring
 
 SPACE = "pair"
 # Times patience: so long a side that could not store a record takes no connection, so that the other asks.
 STORE_FAILURE_BACKOFF = 10
-UNSENT_LIMIT = 8 << 20  # bytes that wait for the other relay; then the connection is given up
 
 
 class Records(Protocol):
@@ -71,51 +72,6 @@
     def connection_lost(self) -> None: ...
 
 
-class Connection:
-    """An authenticated connection: greets, then carries messages both ways."""
-
-    def __init__(self, scheduler: Scheduler, stream: Stream, name: str, keys: Keys) -> None:
-        self._scheduler, self._stream = scheduler, stream
-        self._handshake = wire.Handshake(name, os.urandom(wire.NONCE_SIZE), keys)
-        self._session: wire.Session | None = None
-
-    @property
-    def peer(self) -> str:
-        """The other side's name; empty until it has greeted."""
-        return self._session.peer if self._session else ""
-
-    def greet(self, until: int) -> None:
-        """Both say who they are; raises `Closed`, `Expired` or `ProtocolError`."""
-        self._stream.send_all([self._handshake.greeting.pack()], until)
-        self._session = self._handshake.complete(self._stream.receive(wire.frame, until))
-
-    def send(self, message: object) -> None:
-        assert self._session is not None
-        if not self._stream.closed:
-            self._stream.write([self._session.outward.seal(message)])
-
-    def receive(self, until: int) -> object:
-        assert self._session is not None
-        while True:
-            if self._stream.unsent:
-                self._stream.flush()
-                if self._stream.unsent > UNSENT_LIMIT:
-                    raise Closed("the other side does not read")
-            try:
-                return self._session.inward.open(
-                    self._stream.receive(
-                        wire.frame,
-                        min(until, self._scheduler.clock.now() + 20 * MS) if self._stream.unsent else until,
-                    )
-                )
-            except Expired:
-                if self._scheduler.clock.now() >= until:
-                    raise
-
-    def close(self) -> None:
-        self._stream.close()
-
-
 class Pair:
     """One side of a pair."""
 
@@ -213,9 +169,7 @@
 
     def _do(self, action: Action) -> None:
         if isinstance(action, SendMessage):
-            if self._syncing is not None and not isinstance(
-                action.message, Claim | fence.ClaimAnswer | Mirror
-            ):
+            if self._syncing is not None and not isinstance(action.message, Claim | ClaimAnswer | Mirror):
                 self._deferred.append(action)  # behind the records that are on their way
             elif self._connection is not None:
                 self._connection.send(action.message)
@@ -386,7 +340,7 @@
     def _handle_message(self, message: object) -> None:
         if isinstance(message, wire.Heartbeat):
             return
-        if not isinstance(message, fence.Message):
+        if not isinstance(message, Message):
             raise ProtocolError("not for a relay of a pair")
         conflict = False
         if isinstance(message, Claim):
@@ -414,7 +368,7 @@
             sent += 1
             if sent % 64 == 0:
                 self._scheduler.sleep(MS)
-                while connection._stream.unsent > UNSENT_LIMIT // 4 and linking == self._connection_number:
+                while connection.unsent > UNSENT_LIMIT // 4 and linking == self._connection_number:
                     self._scheduler.sleep(5 * MS)
         self._syncing = None
         self.count["records sent"] += sent
--- a/loftroute/pair/wire.py
+++ b/loftroute/pair/wire.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from loftroute.pair.fence import (
+from loftroute.pair.messages import (
     Claim,
     ClaimAnswer,
     Hello,
--- a/loftroute/pair/witness.py
+++ b/loftroute/pair/witness.py
@@ -7,8 +7,9 @@
 from loguru import logger
 
 from loftroute.pair import wire
-from loftroute.pair.fence import Witness, WitnessRecord, WitnessRequest
-from loftroute.pair.link import Connection
+from loftroute.pair.connection import Connection
+from loftroute.pair.fence import Witness
+from loftroute.pair.messages import WitnessRecord, WitnessRequest
 from loftroute.protocol import ProtocolError
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.files import Directory
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -18,19 +18,30 @@
 from loftroute.lab.pair_model import BOUNDS, Broken, World, explore, wander
 from loftroute.lab.pairs import Duo, play
 from loftroute.lab.standins import Relay, eventually
-from loftroute.pair import fence, wire
-from loftroute.pair.fence import (
+from loftroute.pair import wire
+from loftroute.pair.events import (
     AskWitness,
     Denied,
+    Granted,
     LinkDown,
-    Mode,
-    PairMember,
     Promote,
     Refusal,
+    SendMessage,
     SendRequested,
-    Standing,
     Tick,
-    Witness,
+    WitnessAnswered,
+)
+from loftroute.pair.fence import PairMember, Witness
+from loftroute.pair.messages import (
+    Claim,
+    ClaimAnswer,
+    Hello,
+    Mirror,
+    Mode,
+    Rejoin,
+    Standing,
+    Synced,
+    SyncEnd,
     WitnessRecord,
     WitnessRequest,
 )
@@ -84,7 +95,7 @@
 )
 def test_the_model_finds_each_rule_taken_out(monkeypatch, rule):
     if rule == "the other's word":
-        monkeypatch.setattr(PairMember, "_send_requested", lambda self, event: [fence.Granted(event.id)])
+        monkeypatch.setattr(PairMember, "_send_requested", lambda self, event: [Granted(event.id)])
     elif rule == "conflict":
         old_claim = PairMember._claimed
         monkeypatch.setattr(PairMember, "_claimed", lambda self, one, conflict: old_claim(self, one, False))
@@ -92,8 +103,8 @@
 
         def taken(self, one, conflict):
             if conflict or one.epoch != self.standing.epoch or self.standing.mode is not Mode.PAIRED:
-                return [fence.SendMessage(fence.ClaimAnswer(one.number, False))]
-            return [fence.SendMessage(fence.ClaimAnswer(one.number, True))]
+                return [SendMessage(ClaimAnswer(one.number, False))]
+            return [SendMessage(ClaimAnswer(one.number, True))]
 
         monkeypatch.setattr(PairMember, "_claimed", taken)
     elif rule == "witness gives once":
@@ -153,7 +164,7 @@
 def test_what_the_witness_says_of_another_epoch_is_not_followed():
     it = side()
     for verdict in (WitnessRecord(0, "a"), WitnessRecord(5, "a"), WitnessRecord(1, "")):
-        assert it.handle(0, fence.WitnessAnswered(verdict)) == []
+        assert it.handle(0, WitnessAnswered(verdict)) == []
 
 
 def test_an_order_is_refused_while_the_other_is_heard_and_to_a_new_store():
@@ -182,13 +193,13 @@
 
 MESSAGES = [
     wire.Heartbeat(),
-    fence.Hello(Standing(4, Mode.FENCED, True)),
-    fence.Claim(1, 2, "id", b"\0x"),
-    fence.ClaimAnswer(3, True),
-    fence.Mirror("id", b""),
-    fence.SyncEnd(),
-    fence.Synced(),
-    fence.Rejoin(9),
+    Hello(Standing(4, Mode.FENCED, True)),
+    Claim(1, 2, "id", b"\0x"),
+    ClaimAnswer(3, True),
+    Mirror("id", b""),
+    SyncEnd(),
+    Synced(),
+    Rejoin(9),
     WitnessRequest("a", 1, True, False),
     WitnessRecord(2, "b"),
     wire.StatusRequest(),
