Store: a reserve that the disk has no room for leaves no descriptor open

Where the reserve could not be written, its file stayed open, and with the disk full it is tried again each second: one descriptor a second until there were none. The file is closed in any case; a test shows it.

--- a/loftroute/store/reserve.py
+++ b/loftroute/store/reserve.py
@@ -29,9 +29,11 @@
 
     def _fill(self) -> None:
         file = self._directory.create(RESERVE_FILE)
-        for offset in range(0, self._size, FILL_BYTES):
-            file.write(offset, bytes(min(FILL_BYTES, self._size - offset)))
-        file.close()
+        try:
+            for offset in range(0, self._size, FILL_BYTES):
+                file.write(offset, bytes(min(FILL_BYTES, self._size - offset)))
+        finally:
+            file.close()
 
     def restore(self) -> None:
         """Hold the space again once the disk has enough; a part of it is not kept."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,7 +16,7 @@
 import loftroute.store
 from loftroute.lab.disk import Disk, DiskDirectory, PowerLost
 from loftroute.lab.store_trial import SMALL, Trial, trials
-from loftroute.runtime.files import RealDirectory
+from loftroute.runtime.files import RealDirectory, RealFile
 from loftroute.store.engine import Engine
 from loftroute.store.plan import (
     Busy,
@@ -41,7 +41,7 @@
     Op,
     StoreError,
 )
-from loftroute.store.reserve import RESERVE_FILE
+from loftroute.store.reserve import RESERVE_FILE, Reserve
 from loftroute.store.state import CutOff
 from loftroute.store.steps import Sync, drive
 from loftroute.store.writer import LogWriter
@@ -692,3 +692,20 @@
     assert engine.counters.checkpoints == 12 and counts[-1] == counts[1]
     engine.close()
     assert descriptors_below(tmp_path / "s") == []
+
+
+def test_a_reserve_that_the_disk_has_no_room_for_leaves_no_descriptor_open(tmp_path, monkeypatch):
+    """It is tried again every second while the disk is full."""
+
+    def no_room(file, offset, data):
+        raise OSError(errno.ENOSPC, "planned", file.name)
+
+    engine = Engine(RealDirectory(tmp_path / "s", create=True), PLAIN, ID)
+    before = descriptors_below(tmp_path / "s")
+    reserve = Reserve(engine.directory, 4096)
+    monkeypatch.setattr(RealFile, "write", no_room)
+    for _ in range(5):
+        reserve.restore()
+    monkeypatch.undo()
+    assert descriptors_below(tmp_path / "s") == before and RESERVE_FILE not in engine.directory.names()
+    engine.close()
