--- a/loftroute/lab/scale/charts.py
+++ b/loftroute/lab/scale/charts.py
@@ -1,12 +1,10 @@
-"""Charts of a run's series, as one SVG file."""
+"""Charts of a run's series, as one PNG file."""
 
 from pathlib import Path
 
 import matplotlib
 
-matplotlib.use("svg")
-matplotlib.rcParams["svg.hashsalt"] = "scale"  # the same run gives the same file
-matplotlib.rcParams["svg.fonttype"] = "none"  # words as words, a third of the size
+matplotlib.use("agg")  # draws into files, with no display
 
 from matplotlib import pyplot  # noqa: E402
 from matplotlib.axes import Axes  # noqa: E402
@@ -15,6 +13,8 @@
 
 COLUMNS = 3
 PANEL = (4.2, 3.0)  # inches
+DOTS_AN_INCH = 75
+FLAT = 3.0  # a figure that grows by less is drawn on a linear axis from 0
 
 
 def draw(series: list[Series], path: Path) -> None:
@@ -29,7 +29,7 @@
     for place in list(axes.flat)[len(shown) :]:
         place.axis("off")
     figure.tight_layout()
-    figure.savefig(path, metadata={"Date": None})
+    figure.savefig(path, dpi=DOTS_AN_INCH)
     pyplot.close(figure)
 
 
@@ -40,7 +40,9 @@
     axes.plot(sizes, values, "o", label="measured")
     axes.plot(sizes, [fit.at(size) for size in sizes], "-", label=f"line, residual {fit.residual:.2f}")
     axes.set_xscale("log")
-    if min(values) > 0 and min(fit.at(size) for size in sizes) > 0:
+    if max(values) < FLAT * min(values):
+        axes.set_ylim(0, 1.2 * max(values))
+    elif min(values) > 0 and min(fit.at(size) for size in sizes) > 0:
         axes.set_yscale("log")
     axes.set_title(series.name.replace("_", " ") + (" (void)" if series.void else ""), fontsize=9)
     axes.set_xlabel(series.dimension, fontsize=8)
--- a/loftroute/lab/scale/command.py
+++ b/loftroute/lab/scale/command.py
@@ -100,7 +100,7 @@
 @click.option("--quick", is_flag=True, help="The small plan that CI plays, under a minute.")
 @click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only these parts.")
 @click.option("--event", "kinds", multiple=True, type=click.Choice([k.value for k in EventKind]))
-@click.option("--out", type=click.Path(file_okay=False), help="Write NAME.json, NAME.md and NAME.svg there.")
+@click.option("--out", type=click.Path(file_okay=False), help="Write NAME.json, NAME.md and NAME.png there.")
 @click.option("--name", default="scale", show_default=True)
 def main(
     path: str | None,
@@ -128,4 +128,4 @@
 
         report.write(run, Path(out), name)
         if run.series:
-            charts.draw(run.series, Path(out) / f"{name}.svg")
+            charts.draw(run.series, Path(out) / f"{name}.png")
