--- a/loftroute/lab/scale/charts.py
+++ b/loftroute/lab/scale/charts.py
@@ -6,10 +6,10 @@
 
 matplotlib.use("agg")  # draws into files, with no display
 
-from matplotlib import pyplot  # noqa: E402
-from matplotlib.axes import Axes  # noqa: E402
+from matplotlib import pyplot
+from matplotlib.axes import Axes
 
-from loftroute.lab.scale.fits import Series  # noqa: E402
+from loftroute.lab.scale.fits import Series
 
 COLUMNS = 3
 PANEL = (4.2, 3.0)  # inches
