--- a/loftroute/lab/scale/unit_server.py
+++ b/loftroute/lab/scale/unit_server.py
@@ -3,6 +3,7 @@
 python -m loftroute.lab.scale.unit_server PORT DELAY_MS
 """
 
+import contextlib
 import select
 import socket
 import sys
@@ -13,77 +14,73 @@
 
 VALUE = b"*3\r\n$8\r\nvalue-01\r\n$-1\r\n$-1\r\n"
 CHUNK = 1 << 16
-BACKLOG = 1024
+MS = 1_000_000  # nanoseconds
 
 
 class UnitServer:
-    """Commands of one connection are answered in their order; all answers take the same time."""
+    """All connections in one loop. Every answer waits as long, so that the first asked is the first due."""
 
-    def __init__(self, port: int, delay: float) -> None:
-        """`delay` in seconds."""
-        self._delay = delay
-        self._listener = socket.create_server(("127.0.0.1", port), backlog=BACKLOG)
+    def __init__(self, port: int, delay_ms: float) -> None:
+        self._delay = int(delay_ms * MS)
+        self._listener = socket.create_server(("127.0.0.1", port), backlog=1024)
         self._poll = select.poll()
         self._poll.register(self._listener, select.POLLIN)
-        self._buffers: dict[socket.socket, bytearray] = {}
-        self._connections: dict[int, socket.socket] = {}
-        self._due: deque[tuple[float, socket.socket]] = deque()  # in the order of their times
+        self._connections: dict[int, tuple[socket.socket, bytearray]] = {}
+        self._due: deque[tuple[int, socket.socket]] = deque()
 
     def run(self) -> None:
-        """Serve until the process is ended."""
         while True:
             for descriptor, _ in self._poll.poll(self._wait_ms()):
                 if descriptor == self._listener.fileno():
                     self._accept()
-                elif descriptor in self._connections:
-                    self._read(self._connections[descriptor])
+                else:
+                    self._read(descriptor)
             self._answer_due()
 
-    def _wait_ms(self) -> float | None:
+    def _wait_ms(self) -> int | None:
         if not self._due:
             return None
-        return max(self._due[0][0] - time.monotonic(), 0.0) * 1000
+        return max(-(-(self._due[0][0] - time.monotonic_ns()) // MS), 0)
 
     def _accept(self) -> None:
-        connection, _ = self._listener.accept()
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._connections[connection.fileno()] = connection
-        self._buffers[connection] = bytearray()
-        self._poll.register(connection, select.POLLIN)
+        client, _ = self._listener.accept()
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._connections[client.fileno()] = client, bytearray()
+        self._poll.register(client, select.POLLIN)
 
-    def _read(self, connection: socket.socket) -> None:
+    def _read(self, descriptor: int) -> None:
+        client, buffer = self._connections[descriptor]
         try:
-            data = connection.recv(CHUNK)
+            data = client.recv(CHUNK)
         except OSError:
             data = b""
         if not data:
-            return self._close(connection)
-        buffer = self._buffers[connection] + data
-        while buffer:
+            self._poll.unregister(descriptor)
+            del self._connections[descriptor]
+            return client.close()
+        buffer += data
+        for _ in range(self._take_commands(buffer)):
+            self._due.append((time.monotonic_ns() + self._delay, client))
+
+    @staticmethod
+    def _take_commands(buffer: bytearray) -> int:
+        """How many whole commands were read; they are taken off the buffer."""
+        data, start, count = bytes(buffer), 0, 0
+        while start < len(data):
             try:
-                _, end = resp.command(buffer, 0, len(buffer))
+                _, start = resp.command(data, start, len(data))
             except NeedMore:
                 break
-            buffer = buffer[end:]
-            self._due.append((time.monotonic() + self._delay, connection))
-        self._buffers[connection] = buffer
+            count += 1
+        del buffer[:start]
+        return count
 
     def _answer_due(self) -> None:
-        now = time.monotonic()
-        while self._due and self._due[0][0] <= now:
-            _, connection = self._due.popleft()
-            if connection not in self._buffers:
-                continue
-            try:
-                connection.sendall(VALUE)
-            except OSError:
-                self._close(connection)
-
-    def _close(self, connection: socket.socket) -> None:
-        self._poll.unregister(connection)
-        del self._connections[connection.fileno()], self._buffers[connection]
-        connection.close()
+        while self._due and self._due[0][0] <= time.monotonic_ns():
+            _, client = self._due.popleft()
+            with contextlib.suppress(OSError):  # the peer may have closed meanwhile
+                client.sendall(VALUE)
 
 
 if __name__ == "__main__":
-    UnitServer(int(sys.argv[1]), float(sys.argv[2]) / 1000).run()
+    UnitServer(int(sys.argv[1]), float(sys.argv[2])).run()
