Scale run: real relays believe themselves to be 17 of 520, so that their subset is measured

With one instance told, a relay has to use all units of its list, and the subset's effect did not show. The stand-in relay takes the number of instances; the scale run tells 520, as its hollow relays are told.

--- a/loftroute/lab/scale/processes.py
+++ b/loftroute/lab/scale/processes.py
@@ -84,6 +84,9 @@
         return json.dumps({"type": "stage", "object": self.state}).encode() + b"\n"
 
 
+FLEET, PLACE = 520, 17  # a real relay believes itself to be one of so many: its subset follows from that
+
+
 class MeasuredRelay(standins.Relay):
     """A real relay whose discovery's answers are counted, before so many names of one real unit."""
 
@@ -100,7 +103,9 @@
         self.answers = self.answered_bytes = 0
         address = RemoteUnit(unit_address)
         named: Any = {f"unit-{number:05d}": address for number in range(units)}
-        super().__init__(Path(self._folder.name), named, sockets=1024, **changes)
+        super().__init__(
+            Path(self._folder.name), named, sockets=1024, instances=FLEET, self_index=PLACE, **changes
+        )
 
     def start(self) -> None:
         self.platform.shut()
--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -285,7 +285,7 @@
         for name, zone in zones.items():
             self.discovery.entries[name]["zone"] = zone
         self.settings = setup(
-            instances=1,
+            instances=changes.pop("instances", 1),
             zones=["a", "b"],
             host_types=["m"],
             parties=[{"name": "acme", "allowance_per_s": 1000.0}],
