Cold servers: one core before anything is known, whatever the server's weight

With a log line for each attempt at a cold server (a trial): units list a weight of 4, relays measured 0.004 to 0.014 a unit of weight, and the least part of one core, 1/40, was multiplied by the weight: all four cores of units that have less. Change: the least part does not grow with the weight. The test fails without it (0.5, 4 and 64 times the core).

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -238,9 +238,8 @@
     def _room(self, server: Server) -> float:
         """Rule 4 as this instance's part of the budget: the work that it may still send now to a cold server.
         Before anything is known a server is taken for one core, which all instances share."""
-        part = max(COLD_PART * self.throughput, 1.0 / self.cfg.instances)
-        capacity = part * server.warmth * server.entry.weight
-        return self.cfg.fall_multiple * capacity * self.cfg.fall - server.sent.total(self.now)
+        part = max(COLD_PART * self.throughput * server.entry.weight, 1.0 / self.cfg.instances)  # of any size
+        return self.cfg.fall_multiple * part * server.warmth * self.cfg.fall - server.sent.total(self.now)
 
     def _avoided(self, server: Server) -> bool:
         """Of a build that is voted back, or that may have no attempt at all."""
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -1,6 +1,7 @@
 """Servers that have just started, under the sum of what all relays send (loftroute/lab/cold_servers.py)."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 from itertools import product
 
 import pytest
@@ -64,6 +65,18 @@
     assert sum(first.sent for first in firsts) / len(firsts) >= LEAST_USED
 
 
+@pytest.mark.parametrize("weight", [0.5, 1.0, 4.0, 64.0])
+def test_before_anything_is_known_a_server_is_taken_for_one_core_whatever_its_weight(weight):
+    """Weights may count cores: a core for each unit of weight was all of them, and a slow server fell over."""
+    fleet = Fleet(40, 2)
+    unit = fleet.units[1]
+    unit.entry = replace(unit.entry, weight=weight, started=fleet.now)
+    for n in range(40):
+        fleet.start(n, again=True)
+    room = sum(relay._room(relay.servers[1]) for relay in fleet.relays)
+    assert room == pytest.approx(SETTINGS.fall_multiple * SETTINGS.cold_share * SETTINGS.fall, rel=0.01)
+
+
 # ---- the instrument
 
 
