--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -67,7 +67,7 @@
 
 @pytest.mark.parametrize("weight", [0.5, 1.0, 4.0, 64.0])
 def test_before_anything_is_known_a_server_is_taken_for_one_core_whatever_its_weight(weight):
-    """Weights may count cores: a core for each unit of weight was all of them, and a slow server fell over."""
+    """Weights may count cores: a core for each unit of weight was all of them; a slow server fell over."""
     fleet = Fleet(40, 2)
     unit = fleet.units[1]
     unit.entry = replace(unit.entry, weight=weight, started=fleet.now)
