--- a/loftroute/lab/scale/workload.py
+++ b/loftroute/lab/scale/workload.py
@@ -9,7 +9,6 @@
 REGIONS = 2
 RELEASED_BUILD, TRIAL_BUILD = 41, 42
 LONGEST_LIST = 4 << 20  # bytes of a document that a relay reads
-CLASS_OF = {i.Effect.SAFE: 0, i.Effect.KEYED: 1, i.Effect.UNSAFE: 2}
 
 
 def zone_name(zone: int) -> str:
