--- /dev/null
+++ b/review/lib.py
@@ -0,0 +1,83 @@
+"""What the cases share: the settings of a small deployment, a record of what happened, and the verdict."""
+
+import os
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from loftroute.lab.standins import Relay as LabRelay
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+MS, SECOND = 1_000_000, 1_000_000_000  # nanoseconds
+
+
+def service(name: str, effect: str, aim: int, deadline: int, window: int) -> dict[str, Any]:
+    """Return a request class; times are in nanoseconds."""
+    return {
+        "name": name,
+        "effect": effect,
+        "group": "all",
+        "aim": aim,
+        "hard_limit": deadline,
+        "window": window,
+        "worth": 2.0,
+        "late_worth": 0.0,
+        "stream": False,
+    }
+
+
+# The classes of zagreb-jobs, by the table of its brief.
+ZAGREB = [
+    service("quote", "safe", SECOND, 2500 * MS, 5 * SECOND),
+    service("slice", "keyed", 1500 * MS, 6 * SECOND, 6 * SECOND),
+    service("book", "unsafe", 2 * SECOND, 8 * SECOND, 5 * SECOND),
+]
+
+
+class Record:
+    """Lines with the time since the start, kept in memory and written to `record.txt` at the end."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path, self._begun = folder / "record.txt", time.monotonic()
+        self._lines: list[str] = []
+        self._lock = threading.Lock()
+
+    def __call__(self, text: str) -> None:
+        with self._lock:
+            self._lines.append(f"{time.monotonic() - self._begun:8.3f} {text}")
+
+    def close(self) -> None:
+        self._path.write_text("\n".join(self._lines) + "\n")
+
+
+class Relay(LabRelay):
+    """The project's stand-in for the platform of a relay, with limits of the case's own."""
+
+    def __init__(self, tmp: Path, units: dict[str, Any], limits: dict[str, Any], **changes: Any) -> None:
+        self._limits = limits
+        super().__init__(tmp, units, services=ZAGREB, **changes)
+
+    def config(self) -> dict[str, Any]:
+        return {**super().config(), "limits": self._limits}
+
+
+def run(folder: Path, case: Any) -> None:
+    """Run `case(record, temporary folder)`, which returns the breaks that it saw, and exit with the verdict."""
+    record, status = Record(folder), 2
+    try:
+        with tempfile.TemporaryDirectory(prefix="review-") as tmp:
+            breaks = case(record, Path(tmp))
+        for line in breaks:
+            record(f"BROKEN: {line}")
+        record(f"verdict: {'broken' if breaks else 'held'} (TROUBLE={int(TROUBLE)})")
+        status = 1 if breaks else 0
+    except BaseException as problem:
+        record(f"the case couldn't run: {problem!r}")
+    finally:
+        record.close()
+        print({0: "held", 1: "broken", 2: "couldn't run"}[status])
+        sys.stdout.flush()
+        os._exit(status)
