Review case 1: a booking that has run is sent to another hall that the settings don't name

The case shows that all zones which the settings don't name count as one group of units that drops repeats: a booking whose connection was reset in one such hall is carried out again in another. review/1/run.sh starts the deploy file's run between the project's stand-ins and a unit that remembers keys by hall.

--- a/review/lib.py
+++ b/review/lib.py
@@ -14,12 +14,14 @@
 MS, SECOND = 1_000_000, 1_000_000_000  # nanoseconds
 
 
-def service(name: str, effect: str, aim: int, deadline: int, window: int) -> dict[str, Any]:
+def service(
+    name: str, effect: str, aim: int, deadline: int, window: int, group: str = "all"
+) -> dict[str, Any]:
     """Return a request class; times are in nanoseconds."""
     return {
         "name": name,
         "effect": effect,
-        "group": "all",
+        "group": group,
         "aim": aim,
         "hard_limit": deadline,
         "window": window,
@@ -36,6 +38,12 @@
     service("book", "unsafe", 2 * SECOND, 8 * SECOND, 5 * SECOND),
 ]
 
+# Those of rijeka-quotes.
+RIJEKA = [
+    service("quote", "safe", 750 * MS, 3 * SECOND, 5 * SECOND),
+    service("booking", "keyed", 1200 * MS, 5 * SECOND, 10 * SECOND, group="zone"),
+]
+
 
 class Record:
     """Lines with the time since the start, kept in memory and written to `record.txt` at the end."""
@@ -54,14 +62,25 @@
 
 
 class Relay(LabRelay):
-    """The project's stand-in for the platform of a relay, with limits of the case's own."""
-
-    def __init__(self, tmp: Path, units: dict[str, Any], limits: dict[str, Any], **changes: Any) -> None:
-        self._limits = limits
-        super().__init__(tmp, units, services=ZAGREB, **changes)
+    """The project's stand-in for the platform of a relay, with limits, classes and zones of the case's own."""
+
+    def __init__(
+        self,
+        tmp: Path,
+        units: dict[str, Any],
+        limits: dict[str, Any],
+        services: list[dict[str, Any]] | None = None,
+        zones: list[str] | None = None,
+        **changes: Any,
+    ) -> None:
+        self._limits, self._zones = limits, zones
+        super().__init__(tmp, units, services=services or ZAGREB, **changes)
 
     def config(self) -> dict[str, Any]:
-        return {**super().config(), "limits": self._limits}
+        config = {**super().config(), "limits": self._limits}
+        if self._zones is not None:
+            config["settings"] = {**config["settings"], "zones": self._zones}
+        return config
 
 
 def run(folder: Path, case: Any) -> None:
