Review scripts end their relays whatever happens

A script that can't run, or is ended by its time limit, kills the relays that it started and exits with 2.

--- a/review/lib.py
+++ b/review/lib.py
@@ -1,6 +1,8 @@
 """What the cases share: the settings of a small deployment, a record of what happened, and the verdict."""
 
 import os
+import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -10,6 +12,7 @@
 
 from loftroute.lab.standins import Relay as LabRelay
 
+STARTED: list[subprocess.Popen[bytes]] = []  # the relays; ended by `run` whatever happens
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MS, SECOND = 1_000_000, 1_000_000_000  # nanoseconds
 
@@ -76,6 +79,12 @@
         self._limits, self._zones = limits, zones
         super().__init__(tmp, units, services=services or ZAGREB, **changes)
 
+    def start(self) -> None:
+        try:
+            super().start()
+        finally:
+            STARTED.append(self.process)
+
     def config(self) -> dict[str, Any]:
         config = {**super().config(), "limits": self._limits}
         if self._zones is not None:
@@ -86,6 +95,7 @@
 def run(folder: Path, case: Any) -> None:
     """Run `case(record, temporary folder)`, which returns the breaks that it saw, and exit with the verdict."""
     record, status = Record(folder), 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # from `timeout`
     try:
         with tempfile.TemporaryDirectory(prefix="review-") as tmp:
             breaks = case(record, Path(tmp))
@@ -96,6 +106,10 @@
     except BaseException as problem:
         record(f"the case couldn't run: {problem!r}")
     finally:
+        for process in STARTED:
+            if process.poll() is None:
+                process.kill()
+                process.wait(10)
         record.close()
         print({0: "held", 1: "broken", 2: "couldn't run"}[status])
         sys.stdout.flush()
