--- a/review/lib.py
+++ b/review/lib.py
@@ -65,7 +65,7 @@
 
 
 class Relay(LabRelay):
-    """The project's stand-in for the platform of a relay, with limits, classes and zones of the case's own."""
+    """The project's stand-in that starts a relay, with limits, classes and zones of the case's own."""
 
     def __init__(
         self,
@@ -93,7 +93,7 @@
 
 
 def run(folder: Path, case: Any) -> None:
-    """Run `case(record, temporary folder)`, which returns the breaks that it saw, and exit with the verdict."""
+    """Run `case(record, temporary folder)`, which returns the breaks that it saw; exit with the verdict."""
     record, status = Record(folder), 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # from `timeout`
     try:
