Count the memory of messages, and tell in the state line what holds it

The state line had `memory MB` alone, so that half requests, answers whose turn has not come, answers that nobody reads and chunks kept at rest could not be told apart.

A chunk is now counted from its allocation until the last slice of it is released, whoever holds it (`Chunk`, `MemoryAccount`), and the state line names the three stores of the clients.

No decision changes.

--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -107,6 +107,16 @@
         """Bytes of answers that the client has not read."""
         return self._stream.unsent_bytes
 
+    @property
+    def partly_read(self) -> int:
+        """Bytes of commands that have been read and not been processed."""
+        return len(self._stream.buffer)
+
+    @property
+    def held_answer_bytes(self) -> int:
+        """Bytes of answers that wait for those of earlier commands."""
+        return sum(len(piece) for slot in self.slots for piece in slot.pieces or ())
+
     def is_slow_reader(self, now: int) -> bool:
         """Return whether an answer has been partly written for too long.
 
@@ -509,6 +519,15 @@
         self.crowded += 1
         return False
 
+    def memory_figures(self) -> dict[str, int]:
+        """Return what the clients' messages take, for the state line, in KiB."""
+        connections = self.connections
+        return {
+            "partly read KB": sum(c.partly_read for c in connections) >> 10,
+            "held answers KB": sum(c.held_answer_bytes for c in connections) >> 10,
+            "unread answers KB": sum(c.unsent for c in connections) >> 10,
+        }
+
     def connection_closed(self, connection: Connection) -> None:
         """Forget a closed connection."""
         self.connections.discard(connection)
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -15,6 +15,8 @@
 
 import greenlet
 
+from loftroute.runtime.memory import MemoryAccount
+
 MS = 1_000_000  # nanoseconds
 
 READ, WRITE = select.POLLIN, select.POLLOUT
@@ -120,6 +122,7 @@
         lag: how much later than possible the current iteration polled the sockets.
         worst_lag: the largest `lag` so far.
         polled_at: when the sockets were last polled.
+        message_memory: counts the read buffers of all streams.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
         `pause` sleeps out (seconds).
         """
         self.clock, self._on_failure = clock, on_failure
+        self.message_memory = MemoryAccount()
         self._poller: Poller = poller or select.poll()
         self._max_wait, self._min_interval, self._pause = max_wait, gather, pause
         self.hub = greenlet.getcurrent()
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -14,6 +14,7 @@
 
 from loftroute.protocol import IncompleteMessageError, ProtocolError
 from loftroute.protocol.catalog import Address
+from loftroute.runtime.memory import Chunk, MemoryAccount
 from loftroute.runtime.scheduler import ERROR_EVENTS, READ, WRITE, Scheduler, Task
 
 DISCARDED = memoryview(bytearray(1 << 16))  # receives data that is thrown away
@@ -42,12 +43,15 @@
         end: offset after the last byte that was read.
     """
 
-    __slots__ = ("_chunk", "_limit", "_need", "data", "end", "start")
+    __slots__ = ("_account", "_chunk", "_limit", "_need", "data", "end", "start")
 
-    def __init__(self, chunk: int, limit: int) -> None:
-        """Create a buffer with chunks of `chunk` bytes for messages of at most `limit` bytes."""
-        self._chunk, self._limit = chunk, limit
-        self.data = bytearray(chunk)
+    def __init__(self, chunk: int, limit: int, account: MemoryAccount | None = None) -> None:
+        """Create a buffer with chunks of `chunk` bytes for messages of at most `limit` bytes.
+
+        The chunks are counted in `account`.
+        """
+        self._chunk, self._limit, self._account = chunk, limit, account or MemoryAccount()
+        self.data = Chunk(chunk, self._account)
         self.start = self.end = 0
         self._need = 1
 
@@ -56,7 +60,7 @@
         size = len(self.data)
         if size - self.end < self._chunk // 4 or self.start + self._need > size:
             unparsed = self.end - self.start
-            new_chunk = bytearray(max(self._chunk, self._need, unparsed + self._chunk // 2))
+            new_chunk = Chunk(max(self._chunk, self._need, unparsed + self._chunk // 2), self._account)
             new_chunk[:unparsed] = memoryview(self.data)[self.start : self.end]
             self.data, self.start, self.end = new_chunk, 0, unparsed
         return memoryview(self.data)[self.end :]
@@ -117,7 +121,7 @@
     def __init__(self, scheduler: Scheduler, sock: socket.socket, chunk: int, limit: int) -> None:
         self._scheduler, self._sock = scheduler, sock
         self.fd = sock.fileno()
-        self.buffer = Buffer(chunk, limit)
+        self.buffer = Buffer(chunk, limit, scheduler.message_memory)
         self._send_queue: deque[memoryview] = deque()
         self.unsent_bytes = 0
         self.ended = False
