Bound the memory of all messages: large commands that find none are refused unread

Cause: `Buffer.free_space` takes a chunk for all that a bulk string announces. Each connection was bounded by 256 KiB and the descriptors by their number, the sum of partly read commands by nothing: 136 MB with 1,024 descriptors. Evidence: "partly read KB 18727" of 450 connections in the state line, 86437 KB before their errors; no held or unread answers.

Change: messages have half of what program and connections leave of the limit. A command over its connection's 4 KiB asks `MessageBudget`; those incomplete for longest give way, from 50 ms on. A discarded command is read on by its framing and answered -BUSY in its turn once it is whole, -ERR with recall on. It works since chunks are counted by their life, so that no holder can be forgotten, and since what stands still longest is what stopped clients hold.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -236,6 +236,7 @@
     unit_connections: int  # connections to units
     open_requests: int  # concurrent requests
     unsent_bytes: int  # bytes of answers buffered for clients that have not read them
+    message_bytes: int  # bytes of all messages in memory
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,6 +310,8 @@
     open_requests_per_core: int = 128
     # Memory used by the program itself; the rest bounds the open requests.
     program_bytes: int = 24 << 20
+    # Memory of a connection and its task, without messages.
+    connection_bytes: int = 8 << 10
     # Consecutive failures after the first until the retry delay reaches its maximum; the first has no delay.
     backoff_steps: int = 4
     # Pause before the next accept when there is no room, and between reads from a throttled client.
@@ -317,6 +320,8 @@
     max_warm_connections: int = 3
     # A client connection may be closed to make room once it has been idle for this long.
     evictable_after_ns: int = 50_000_000
+    # A large command that is still incomplete after this time may be discarded to make room for another.
+    skippable_after_ns: int = 50_000_000
     # Messages that a mailbox holds.
     mailbox_capacity: int = 1 << 16
     # Interval of the state line in the log.
@@ -500,7 +505,8 @@
     open request uses one of each; the rest are idle connections on both sides.
 
     The number of open requests is bounded by the cores and by half of the remaining memory, with requests
-    and answers of the maximum size.
+    and answers of the maximum size. Half of what the connections leave of the memory is for messages, but
+    never less than a usual chunk for each connection and a few messages of the maximum size.
     """
     configured_sockets = limits.integer("sockets", 1024)
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -516,6 +522,10 @@
         max(64, memory_bytes // 2 // (2 * resp.VALUE_LIMIT)),
         int(defaults.open_requests_per_core * limits.number("cores", 1.0)),
     )
+    message_bytes = max(
+        (memory_bytes - available * defaults.connection_bytes) // 2,
+        available * defaults.initial_buffer_bytes + 4 * defaults.max_message_bytes,
+    )
     max_open = min(max_open, ceilings.integer("max_open", 0) or max_open)
     return Budget(
         client_connections=available - for_units,
@@ -523,6 +533,7 @@
         unit_connections=for_units,
         open_requests=max_open,
         unsent_bytes=max(memory_bytes // 4, 2 * resp.VALUE_LIMIT),
+        message_bytes=message_bytes,
     )
 
 
--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -302,9 +302,9 @@
 class Relay:
     """A relay process between stand-ins, started by the `run` command of the deploy file.
 
-    Keyword arguments other than those taken here (`builds`, `sockets`, `news`, `product`, `program`, `env`,
-    `unit_zones`, `instances`) change the settings, see `setup`. With `product`, the text of the product
-    settings, the module `program` is run instead of the deploy file's command.
+    Keyword arguments other than those taken here (`builds`, `sockets`, `limits`, `news`, `product`,
+    `program`, `env`, `unit_zones`, `instances`) change the settings, see `setup`. With `product`, the text of
+    the product settings, the module `program` is run instead of the deploy file's command.
     """
 
     ids = iter(range(1, 1 << 30))
@@ -325,7 +325,8 @@
                 "release": builds.get(name, 41),
                 "at": 0,
             }
-        self.sockets = changes.pop("sockets", 256)
+        self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 256)}
+        self.limits.update(changes.pop("limits", {}))
         self.news = changes.pop("news", None)
         self.product = changes.pop("product", None)
         self.program = changes.pop("program", "loftroute")
@@ -349,7 +350,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": self.discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "limits": self.limits,
             "pipeline": {"address": self.platform.address, "news": self.news or self.platform.state},
             "known": self.discovery.listing(),
             "settings": self.settings,
--- a/loftroute/protocol/resp.py
+++ b/loftroute/protocol/resp.py
@@ -184,6 +184,70 @@
     return size, stop + 2
 
 
+class CommandSkipper:
+    """Follows the framing of a command whose content is discarded, so that the next one can be parsed."""
+
+    __slots__ = ("_arguments_left", "_bytes_allowed", "_content_left", "_terminator_due")
+
+    def __init__(self, limit: int) -> None:
+        """Start in front of a command of at most `limit` bytes."""
+        self._bytes_allowed = limit
+        self._arguments_left: int | None = None  # None until the header of the command has been skipped
+        self._content_left = 0  # bytes of the current argument
+        self._terminator_due = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last byte of the command has been skipped."""
+        return not (self._arguments_left is None or self._arguments_left or self._terminator_due)
+
+    def skip(self, data: bytes | bytearray, start: int, end: int) -> int:
+        """Skip what there is of the command and return the offset after it.
+
+        Raises `ProtocolError` for anything that is not a command or is longer than the limit.
+        """
+        at = start
+        while not self.is_complete and (after := self._skip_part(data, at, end)) > at:
+            at = after
+        self._bytes_allowed -= at - start
+        if self._bytes_allowed < 0:
+            raise ProtocolError("message too long")
+        return at
+
+    def _skip_part(self, data: bytes | bytearray, at: int, end: int) -> int:
+        """Skip a header, content or a terminator; return the offset after it, `at` if more is needed."""
+        if self._content_left:
+            count = min(self._content_left, end - at)
+            self._content_left -= count
+            return at + count
+        if self._terminator_due:
+            return self._skip_terminator(data, at, end)
+        try:
+            return self._skip_header(data, at, end)
+        except IncompleteMessageError:
+            return at
+
+    def _skip_terminator(self, data: bytes | bytearray, at: int, end: int) -> int:
+        if end - at < 2:
+            return at
+        if data[at : at + 2] != b"\r\n":
+            raise ProtocolError("a value does not end where its length says")
+        self._terminator_due = False
+        return at + 2
+
+    def _skip_header(self, data: bytes | bytearray, at: int, end: int) -> int:
+        if self._arguments_left is None:
+            count, after = _header(data, at, end, 42, ARRAY_LIMIT)  # *
+            if not count:
+                raise ProtocolError("an empty command")
+            self._arguments_left = count
+            return after
+        self._content_left, after = _header(data, at, end, 36, VALUE_LIMIT)  # $
+        self._arguments_left -= 1
+        self._terminator_due = True
+        return after
+
+
 def bulk_string(value: Piece) -> list[Piece]:
     """Encode a bulk string."""
     return [b"$%d\r\n" % len(value), value, b"\r\n"]
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -8,6 +8,7 @@
 from loftroute.config import Config
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
+from loftroute.relay.message_budget import MessageBudget
 from loftroute.relay.module import Module
 from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Scheduler, Task, spawn_supervised
 from loftroute.runtime.stream import Listener, Stream
@@ -69,6 +70,7 @@
         self.slots: deque[Slot] = deque()
         self.mailbox: Mailbox[Slot] = Mailbox(clients.scheduler, self._transport.max_pipelined + 1)
         self._framing_lost = False  # after a protocol error nothing more is read
+        self._skipper: resp.CommandSkipper | None = None  # set while a command is discarded
         # Set once the client has half-closed: requests may be started until then; 0 once that time is over.
         self._half_close_deadline: int | None = None
         self._unsent_since: int | None = None  # since when an answer is partly written
@@ -87,10 +89,18 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no command is open or partly read and no answer is partly written."""
-        return not (
-            self.slots or self._stream.unsent_bytes or len(self._stream.buffer) or self._stream.events
-        )
+        """Whether nothing is open, partly read or partly written, and poll has reported no event."""
+        return not (self._is_in_use or self._stream.events)
+
+    @property
+    def _is_in_use(self) -> bool:
+        """Whether a command is open or partly read or an answer is partly written."""
+        return bool(self.slots or self._stream.unsent_bytes or self._has_unprocessed_input)
+
+    @property
+    def _has_unprocessed_input(self) -> bool:
+        """Whether a command has been read in part, or has been read and waits for its turn."""
+        return bool(len(self._stream.buffer)) or self._skipper is not None
 
     @property
     def has_open_request(self) -> bool:
@@ -142,7 +152,7 @@
                     return
                 if self._framing_lost and not (self.slots or stream.unsent_bytes):
                     return self._linger()
-                if self._clients.closing and not (self.slots or stream.unsent_bytes or len(stream.buffer)):
+                if self._clients.closing and not self._is_in_use:
                     if not self._read_once_more():
                         return self._close_gracefully()
                     continue
@@ -184,7 +194,22 @@
     def _read_once_more(self) -> bool:
         """Return whether data has arrived that poll has not reported yet; it is served before the close."""
         self._stream.events |= READ
-        return self._stream.read()
+        return self._receive()
+
+    def _receive(self) -> bool:
+        """Read once and return whether any data was read.
+
+        A command that there is no memory for is discarded from here on.
+        """
+        stream = self._stream
+        if not stream.events:
+            return False
+        size = stream.buffer.next_allocation()
+        if size > self._transport.initial_buffer_bytes and not self._clients.message_budget.allocate(
+            self, size, self._clients.scheduler.polled_at
+        ):
+            self.skip_command()
+        return not self._framing_lost and stream.read()
 
     def _close_gracefully(self) -> None:
         """End the sending side at a shutdown and wait for the client to close.
@@ -230,6 +255,7 @@
     def _release(self) -> None:
         """Close the socket and report the open requests as abandoned."""
         self._stream.close()
+        self._clients.message_budget.release(self)
         for slot in self.slots:
             if slot.job and slot.pieces is None:
                 self._clients.module.client_gone(slot.job)
@@ -255,11 +281,11 @@
         """
         if self._framing_lost or self._stream.unsent_bytes:
             return True
-        buffer_was_empty = not len(self._stream.buffer)
+        is_first_input = not self._has_unprocessed_input
         self._stream.events |= READ
-        if not self._stream.read():
+        if not self._receive():
             return True
-        if self.commands and buffer_was_empty:  # the first bytes of the next command
+        if self.commands and is_first_input:  # the first bytes of the next command
             self.last_activity = self._clients.scheduler.polled_at
         self._clients.scheduler.wake(self.task)
         return False
@@ -280,7 +306,7 @@
 
     def expire(self) -> None:
         """Close an idle or stalled connection; a client that has sent an incomplete command gets an error."""
-        if self._framing_lost or self._stream.unsent_bytes or not len(self._stream.buffer):
+        if self._framing_lost or self._stream.unsent_bytes or not self._has_unprocessed_input:
             return self.close()
         self._clients.half_commands += 1
         self._fail_framing("ERR no whole command in time")
@@ -296,6 +322,8 @@
             self._clients.scheduler.polled_at - self._transport.client_idle_timeout_ns // 2,
         )
         self._stream.buffer.consumed_to(self._stream.buffer.end)
+        self._skipper = None
+        self._clients.message_budget.release(self)
         self._append_slot().answer(resp.error_reply(text))
 
     def _poll_mask(self) -> int:
@@ -317,40 +345,69 @@
         """Read and process input, up to a limit per turn."""
         if self._framing_lost:
             return
-        if self.commands and not len(self._stream.buffer):
+        if self.commands and not self._has_unprocessed_input:
             self.last_activity = self._clients.scheduler.polled_at
         try:
             self._parse_commands()
             for _ in range(16):  # then other connections get their turn; poll reports the rest again
-                if (
-                    self._paused_until
-                    or not self._stream.events
-                    or self._is_full()
-                    or not self._stream.read()
-                ):
+                if self._paused_until or not self._stream.events or self._is_full() or not self._receive():
                     return
                 self._parse_commands()
         except ProtocolError as problem:
-            self._clients.malformed += 1
-            self._fail_framing(f"ERR {problem}")
+            self._reject_input(problem)
+
+    def _reject_input(self, problem: ProtocolError) -> None:
+        """Handle input that is not the protocol: answer with an error and read nothing more."""
+        self._clients.malformed += 1
+        self._fail_framing(f"ERR {problem}")
 
     def _parse_commands(self) -> None:
         """Process the complete commands in the buffer, the common form of a request with a fast parser."""
         buffer, names = self._stream.buffer, self._clients.config.names
         while buffer.end > buffer.start and not self._is_full() and not self._paused_until:
+            if self._skipper is not None:
+                if not self._skip_input(self._skipper):
+                    return
+                continue
             parsed = jobs.parse_usual_request(buffer.data, buffer.start, buffer.end, names)
             if parsed:
                 buffer.consumed_to(parsed[1])
-                self.commands += 1
+                self._command_received()
                 self._submit(self._append_slot(), parsed[0])
                 continue
             command = buffer.parse(resp.parse_command)
             if command is None:
                 return
-            self.commands += 1
+            self._command_received()
             self.last_activity = self._clients.scheduler.polled_at
             self._handle_command(command)
 
+    def _command_received(self) -> None:
+        """Note that the last byte of a command has been read."""
+        self.commands += 1
+        self._clients.message_budget.release(self)
+
+    def skip_command(self) -> None:
+        """Discard the command that is partly read; called by its own task or by another connection's."""
+        self._skipper = resp.CommandSkipper(self._transport.max_message_bytes)
+        try:
+            self._skip_input(self._skipper)
+        except ProtocolError as problem:
+            self._reject_input(problem)
+            self._clients.scheduler.wake(self.task)
+
+    def _skip_input(self, skipper: resp.CommandSkipper) -> bool:
+        """Discard what has been read of a command; refuse it and return True once it is complete."""
+        buffer = self._stream.buffer
+        buffer.consumed_to(skipper.skip(buffer.data, buffer.start, buffer.end))
+        if not skipper.is_complete:
+            return False
+        self._skipper = None
+        self.commands += 1
+        self.last_activity = self._clients.scheduler.polled_at
+        self._clients.module.refuse_skipped(self._append_slot())
+        return True
+
     def _append_slot(self) -> Slot:
         slot = Slot(self, self._clients.scheduler.turns)
         self.slots.append(slot)
@@ -408,6 +465,7 @@
     Attributes:
         config, scheduler, module: shared by the connections.
         connections: open client connections.
+        message_budget: bounds the memory of all messages.
         last_accept: time of the last accepted connection (nanoseconds).
         slow_readers_closed: connections closed because their clients did not read their answers.
         malformed: connections with a protocol error.
@@ -422,6 +480,9 @@
     def __init__(self, config: Config, scheduler: Scheduler, module: Module) -> None:
         self.config, self.scheduler, self.module = config, scheduler, module
         self.connections: set[Connection] = set()
+        self.message_budget = MessageBudget(
+            scheduler.message_memory, config.budget.message_bytes, config.transport.skippable_after_ns
+        )
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._next_eviction_at = self._full_since = 0
         self.slow_readers_closed = 0
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -205,6 +205,7 @@
             "task failures": scheduler.failures,
             "bad requests": self.clients.bad_requests,
             "malformed": self.clients.malformed,
+            "skipped commands": self.clients.message_budget.commands_skipped,
             "half commands": self.clients.half_commands,
             "closed unread": self.clients.closed_unread,
             "cut off": self.clients.slow_readers_closed,
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -210,6 +210,17 @@
         self.requests += 1
         self.mailbox.put(job.arrival_event(left))
 
+    def refuse_skipped(self, ticket: Ticket) -> None:
+        """Answer a command that was discarded unread, for lack of memory.
+
+        It has no effect of its own. Where an earlier call with its id may have run, which only its record
+        tells, a refusal would promise too much.
+        """
+        self.counters["no memory"] += 1
+        if self.recall is not None:
+            return ticket.failed()
+        ticket.refused(self._retry_after_ms)
+
     def client_gone(self, job: ClientRequest) -> None:
         """Drop a request whose client has closed its connection.
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,12 +1,22 @@
 """The memory that messages take: how it is counted, and that its sum over all connections is bounded."""
 
 import contextlib
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from loftroute.config import Transport
-from loftroute.protocol import resp
+from loftroute.lab.standins import Unit, command
+from loftroute.protocol import ProtocolError, resp
+from loftroute.relay.message_budget import MessageBudget
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.stream import Buffer
-from tests.stepped import ask, got, served_at
+from tests.stepped import MS, ask, got, served_at, value
+from tests.test_protocol import joined, quick
 from tests.test_runtime import fill
 
 LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 1024}
@@ -81,6 +91,110 @@
     assert account.used_bytes == 0
 
 
+def test_half_requests_of_many_clients_stay_within_the_memory_limit(world):
+    """Guards against a sum over all client connections without a bound: the platform kills such a relay."""
+    cluster = world(limits=LIMITS)
+    clients = stopped_clients(cluster, 400)
+    usual = cluster.client()
+    usual.sendall(ask())
+    served_at(cluster, b"Q.ASK")
+    assert receive(cluster, usual, 1) == value(b"V")
+    assert cluster.scheduler.message_memory.take_peak() < MESSAGES_MB << 20
+    assert cluster.relay.clients.message_budget.commands_skipped > 0
+    for _ in range(25):
+        cluster.step(100, 1)
+    assert {got(client) for client in clients} == {b"-ERR no whole command in time\r\n"}
+
+
+def test_a_relay_process_survives_hundreds_of_half_requests(relay):
+    """Guards against resident memory over the limit, for which the platform kills the process."""
+    process = relay({"u0": Unit(), "u1": Unit()}, limits=LIMITS)
+    data = large_request()[:HALF]
+
+    def stop_in_the_middle(clients):
+        for client in clients:
+            with contextlib.suppress(OSError):  # the relay may have closed it, as it does after an error
+                client.sendall(data)
+
+    clients = [socket.create_connection(("127.0.0.1", process.port), timeout=5) for _ in range(400)]
+    senders = [threading.Thread(target=stop_in_the_middle, args=(clients[n::8],)) for n in range(8)]
+    for thread in senders:
+        thread.start()
+    usual, end, answers = process.client(), time.monotonic() + 3.0, set()
+    while time.monotonic() < end:
+        answers.add(process.read(usual))
+        time.sleep(0.02)
+    for thread in senders:
+        thread.join(10)
+    with open(f"/proc/{process.process.pid}/status", encoding="ascii") as status:
+        peak_kb = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+    for client in clients:
+        client.close()
+    assert answers == {b"value of k1"} and process.process.poll() is None
+    assert peak_kb <= LIMITS["memory_mb"] << 10
+
+
+def test_a_large_request_is_served_beside_half_requests_that_hold_all_memory(world):
+    """Guards against stopped clients that keep the memory from those that send whole requests."""
+    cluster = world(limits=LIMITS)
+    stopped_clients(cluster, 400)
+    cluster.clock.time += Transport().skippable_after_ns
+    skipped = cluster.relay.clients.message_budget.commands_skipped
+    usual = cluster.client()
+    send_all(cluster, {usual: large_request("large")})
+    served_at(cluster, b"large")
+    assert receive(cluster, usual, 1) == value(b"V")
+    assert cluster.relay.clients.message_budget.commands_skipped > skipped
+
+
+def test_a_command_without_memory_is_refused_in_its_order_and_the_next_one_is_served(world):
+    """Guards against a client that gets no answer, or one out of turn, after its command was discarded."""
+    cluster = world(limits=LIMITS)
+    cluster.relay.clients.message_budget.limit_bytes = 0
+    client = cluster.client()
+    send_all(cluster, {client: ask("first") + large_request() + ask("third")})
+    served_at(cluster, b"first", b"A")
+    cluster.turn(5)
+    cluster.step(30)
+    served_at(cluster, b"third", b"C")
+    expected = value(b"A") + RETRY + value(b"C")
+    assert receive(cluster, client, len(expected)) == expected
+    assert cluster.relay.module.counters["no memory"] == 1
+
+
+def test_a_command_discarded_in_the_middle_is_refused_once_it_is_whole(world):
+    """Guards against a request cut short by the memory limit that is lost or leaves the framing broken."""
+    cluster = world(limits=LIMITS)
+    client, raw = cluster.client(), large_request()
+    send_all(cluster, {client: raw[:HALF]})
+    (connection,) = cluster.relay.clients.connections
+    connection.skip_command()
+    assert cluster.scheduler.message_memory.used_bytes < 3 * Transport().initial_buffer_bytes
+    assert got(client) == b""
+    send_all(cluster, {client: raw[HALF:] + ask("next")})
+    served_at(cluster, b"next")
+    expected = RETRY + value(b"V")
+    assert receive(cluster, client, len(expected)) == expected
+
+
+def test_a_client_that_drips_into_a_discarded_command_gets_its_error_in_time(world):
+    """Guards against a discarded command that each further byte keeps alive."""
+    cluster = world(limits=LIMITS)
+    client, raw = cluster.client(), large_request()
+    send_all(cluster, {client: ask("warm")})
+    served_at(cluster, b"warm")
+    receive(cluster, client, 1)
+    send_all(cluster, {client: raw[:HALF]})
+    (connection,) = cluster.relay.clients.connections
+    connection.skip_command()
+    for n in range(25):
+        with contextlib.suppress(OSError):
+            client.send(raw[HALF + n : HALF + n + 1])
+        cluster.turn(3)
+        cluster.step(100)
+    assert got(client) == b"-ERR no whole command in time\r\n"
+
+
 def test_an_expired_half_request_gives_its_memory_back_at_once(world):
     """Guards against memory that a connection keeps between its error and its end."""
     cluster = world(limits=LIMITS)
@@ -103,3 +217,80 @@
     receive(cluster, client, resp.VALUE_LIMIT)
     assert cluster.relay.units.open_connections == 1
     assert cluster.scheduler.message_memory.used_bytes <= 4 * Transport().initial_buffer_bytes
+
+
+def test_with_recall_a_discarded_command_fails_instead_of_being_refused(world):
+    """Guards against a promise of no effect for a call whose id may have run before."""
+
+    class Ticket:
+        answers: list[str] = []  # noqa: RUF012
+
+        def refused(self, retry_after_ms):
+            self.answers.append("refused")
+
+        def failed(self):
+            self.answers.append("failed")
+
+    module, ticket = world().relay.module, Ticket()
+    module.refuse_skipped(ticket)
+    module.recall = object()
+    module.refuse_skipped(ticket)
+    module.recall = None
+    assert ticket.answers == ["refused", "failed"]
+
+
+class Receiver:
+    """A connection that reads a large command; its memory stands in the account."""
+
+    def __init__(self, account, size=10):
+        self._account, self._size = account, size
+
+    def start(self, budget, now):
+        allowed = budget.allocate(self, self._size, now)
+        self._account.used_bytes += self._size * allowed
+        return allowed
+
+    def skip_command(self):
+        self._account.used_bytes -= self._size
+
+
+def test_the_oldest_incomplete_command_gives_way_and_none_before_its_time():
+    account = MemoryAccount()
+    budget = MessageBudget(account, 25, 50 * MS)
+    first, second, third = (Receiver(account) for _ in range(3))
+    assert first.start(budget, 0) and second.start(budget, MS)
+    assert not third.start(budget, 49 * MS) and account.used_bytes == 20
+    assert third.start(budget, 50 * MS) and account.used_bytes == 20
+    assert budget.allocate(second, 5, 51 * MS)  # it holds on, since it is alone beside a newer one
+    assert budget.commands_skipped == 2
+    budget.release(second)
+    assert not first.start(budget, 90 * MS)  # nobody is old enough but one whose command is complete
+
+
+@quick
+@given(
+    st.lists(st.binary(max_size=60), min_size=1, max_size=6),
+    st.binary(max_size=9),
+    st.lists(st.integers(0, 400), max_size=8),
+)
+def test_a_discarded_command_ends_where_the_parser_ends_it(words, behind, cuts):
+    raw = joined(resp.array(words))
+    data, skipper, at = bytearray(raw + behind), resp.CommandSkipper(1000), 0
+    for end in sorted({min(cut, len(data)) for cut in cuts} | {len(data)}):
+        at = skipper.skip(data, at, end)
+        assert at <= end and skipper.is_complete == (end >= len(raw))
+    assert at == len(raw)
+
+
+@quick
+@given(st.binary(max_size=60), st.sampled_from([b"", b"*", b"*2\r\n$", b"*1\r\n$3\r\n"]))
+def test_discarding_garbage_raises_nothing_but_a_protocol_error(rest, head):
+    data = bytearray(head + rest)
+    with contextlib.suppress(ProtocolError):
+        resp.CommandSkipper(100).skip(data, 0, len(data))
+
+
+def test_a_discarded_command_over_the_limit_is_a_protocol_error():
+    raw = bytearray(command(b"x" * 50, b"y" * 50))
+    with pytest.raises(ProtocolError, match="message too long"):
+        resp.CommandSkipper(100).skip(raw, 0, len(raw))
