Count the answers to come as memory: requests without room for theirs are refused

Cause: a request left `Budget.open_requests` with its answer, and an answer whose turn has not come lies in `Slot.pieces`, which `unsent_bytes` does not count. Evidence, state line at 96 MB: "messages KB 103009, partly read KB 0, held answers KB 102610, unread answers KB 0". Ruled out by it: clients that do not read, half requests.

Change: a request takes the memory of an answer of the maximum size until its answer has come (`MessageBudget.expect_answer`), then the chunk of the answer counts until it is sent; without room the request is refused at once. Once half is in use a connection with more than two commands out is refused, so that a few leave room for all. It works since the sum is taken before the request goes out: what has been sent can't be refused any more. An answered slot gives up its request.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -302,6 +302,8 @@
     retry_after_ns: int = 250_000_000
     # Unanswered commands per client connection before reading stops.
     max_pipelined: int = 64
+    # Unanswered commands per client connection while half of the memory for messages is in use.
+    max_pipelined_if_scarce: int = 2
     # Unsent bytes per client connection before reading stops.
     max_unsent_bytes: int = 1 << 18
     # Length of the listener's accept queue.
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -18,7 +18,7 @@
     """Position of one command in the order of answers; also the ticket of its request.
 
     Attributes:
-        job: the request, once it has been parsed.
+        job: the request, from when it is submitted until it is answered or abandoned.
         pieces: the encoded answer, once there is one.
         turn: the scheduler's turn in which the command was read.
     """
@@ -36,8 +36,26 @@
             invariants.check(False, "a request is answered once")
             return
         self.pieces = pieces
+        self._take_job()
         self._connection.slot_answered(self)
 
+    def submit(self, job: ClientRequest, waited: int) -> None:
+        """Pass the request to the module; `waited` is the time that it may have been unread (nanoseconds)."""
+        self.job = job
+        self._connection.clients.module.handle_request(job, self, waited)
+
+    def abandon(self) -> None:
+        """Tell the module that the client has gone, if the request is open."""
+        if job := self._take_job():
+            self._connection.clients.module.client_gone(job)
+
+    def _take_job(self) -> ClientRequest | None:
+        """Return the request if it is open, and end it here: its slices and its answer's memory are free."""
+        job, self.job = self.job, None
+        if job:
+            self._connection.clients.message_budget.answer_ended()
+        return job
+
     def served(self, answer: AttemptResult) -> None:
         """Answer with the value of a successful attempt."""
         self.answer([answer.framed] if answer.framed is not None else resp.bulk_string(answer.value))
@@ -55,6 +73,7 @@
     """One client connection: reads pipelined commands and sends the answers in the same order.
 
     Attributes:
+        clients: all client connections and what they share.
         slots: commands whose answers have not been written, in order.
         mailbox: slots that have got their answer.
         commands: number of complete commands received.
@@ -64,7 +83,7 @@
     """
 
     def __init__(self, clients: "Clients", stream: Stream, waited: int) -> None:
-        self._clients, self._stream = clients, stream
+        self.clients, self._stream = clients, stream
         self._waited = waited  # how long the connection may have waited to be accepted (nanoseconds)
         self._transport = clients.config.transport
         self.slots: deque[Slot] = deque()
@@ -134,7 +153,7 @@
         """
         return self._unsent_since is not None and (
             now - self._unsent_since
-            > self._clients.config.longest_deadline_ns + self._transport.client_idle_timeout_ns
+            > self.clients.config.longest_deadline_ns + self._transport.client_idle_timeout_ns
         )
 
     def _run(self) -> None:
@@ -152,7 +171,7 @@
                     return
                 if self._framing_lost and not (self.slots or stream.unsent_bytes):
                     return self._linger()
-                if self._clients.closing and not self._is_in_use:
+                if self.clients.closing and not self._is_in_use:
                     if not self._read_once_more():
                         return self._close_gracefully()
                     continue
@@ -167,7 +186,7 @@
         Attempts in progress go on and no others are started. Commands read in the same poll as the end, or in
         the one before, may still be started for a short time.
         """
-        clients, clock = self._clients, self._clients.scheduler.clock
+        clients, clock = self.clients, self.clients.scheduler.clock
         if (
             not (self.slots or self._stream.unsent_bytes)
             or self._framing_lost
@@ -187,8 +206,8 @@
     def _report_half_close(self, before_turn: int) -> None:
         """Report the half-close for the open requests that were read before a turn of the scheduler."""
         for slot in list(self.slots):
-            if slot.job and slot.pieces is None and slot.turn < before_turn:
-                self._clients.module.client_half_closed(slot.job)
+            if slot.job and slot.turn < before_turn:
+                self.clients.module.client_half_closed(slot.job)
         self._flush()
 
     def _read_once_more(self) -> bool:
@@ -205,8 +224,8 @@
         if not stream.events:
             return False
         size = stream.buffer.next_allocation()
-        if size > self._transport.initial_buffer_bytes and not self._clients.message_budget.allocate(
-            self, size, self._clients.scheduler.polled_at
+        if size > self._transport.initial_buffer_bytes and not self.clients.message_budget.allocate(
+            self, size, self.clients.scheduler.polled_at
         ):
             self.skip_command()
         return not self._framing_lost and stream.read()
@@ -218,7 +237,7 @@
         close at once, with unread data, would reset the connection and discard answers that the client has
         not read yet.
         """
-        stream, clock = self._stream, self._clients.scheduler.clock
+        stream, clock = self._stream, self.clients.scheduler.clock
         linger_until = clock.now() + self._transport.linger_ns
         stream.half_close()
         stream.events = 0
@@ -231,7 +250,7 @@
         To close at once, with unread data, would reset the connection and discard the error before the
         client reads it.
         """
-        stream, clock = self._stream, self._clients.scheduler.clock
+        stream, clock = self._stream, self.clients.scheduler.clock
         linger_until, bytes_left = clock.now() + self._transport.linger_ns, self._transport.max_linger_bytes
         stream.half_close()
         while not stream.ended and bytes_left > 0 and clock.now() < linger_until:
@@ -248,30 +267,29 @@
         stream.write(slot.pieces)
         self._track_unsent()
         if not self._framing_lost:
-            self.last_activity = self._clients.scheduler.polled_at
-        if self.slots or stream.unsent_bytes or stream.ended or self._clients.closing:
+            self.last_activity = self.clients.scheduler.polled_at
+        if self.slots or stream.unsent_bytes or stream.ended or self.clients.closing:
             self.mailbox.put(slot)  # wakes the task for the rest
 
     def _release(self) -> None:
         """Close the socket and report the open requests as abandoned."""
         self._stream.close()
-        self._clients.message_budget.release(self)
+        self.clients.message_budget.release(self)
         for slot in self.slots:
-            if slot.job and slot.pieces is None:
-                self._clients.module.client_gone(slot.job)
+            slot.abandon()
         self.slots.clear()
-        self._clients.connection_closed(self)
+        self.clients.connection_closed(self)
 
     def read_again(self) -> None:
         """Read once more even if poll has reported nothing, so that a pending request is served first."""
         self._stream.events |= READ
-        self._clients.scheduler.wake(self.task)
+        self.clients.scheduler.wake(self.task)
 
     def _track_unsent(self) -> None:
         if not self._stream.unsent_bytes:
             self._unsent_since = None
         elif self._unsent_since is None:
-            self._unsent_since = self._clients.scheduler.polled_at
+            self._unsent_since = self.clients.scheduler.polled_at
 
     def can_close(self) -> bool:
         """Return whether the connection may be closed without losing a request.
@@ -286,15 +304,15 @@
         if not self._receive():
             return True
         if self.commands and is_first_input:  # the first bytes of the next command
-            self.last_activity = self._clients.scheduler.polled_at
-        self._clients.scheduler.wake(self.task)
+            self.last_activity = self.clients.scheduler.polled_at
+        self.clients.scheduler.wake(self.task)
         return False
 
     def evict(self) -> None:
         """Close the connection to make room: fail its open requests and send the errors if possible."""
         for slot in self.slots:
-            if slot.job and slot.pieces is None:
-                self._clients.module.client_gone(slot.job)
+            if slot.job:
+                slot.abandon()
                 slot.pieces = resp.error_reply("ERR failed")
         self._flush()
         self.close()
@@ -302,15 +320,15 @@
     def close(self) -> None:
         """Close the connection from another task; its descriptor is free immediately."""
         self._release()
-        self._clients.scheduler.cancel(self.task)
+        self.clients.scheduler.cancel(self.task)
 
     def expire(self) -> None:
         """Close an idle or stalled connection; a client that has sent an incomplete command gets an error."""
         if self._framing_lost or self._stream.unsent_bytes or not self._has_unprocessed_input:
             return self.close()
-        self._clients.half_commands += 1
+        self.clients.half_commands += 1
         self._fail_framing("ERR no whole command in time")
-        self._clients.scheduler.wake(self.task)
+        self.clients.scheduler.wake(self.task)
 
     def _fail_framing(self, text: str) -> None:
         """Send an error after the answers that are still to come, and read nothing more.
@@ -319,11 +337,11 @@
         """
         self._framing_lost, self.last_activity = (
             True,
-            self._clients.scheduler.polled_at - self._transport.client_idle_timeout_ns // 2,
+            self.clients.scheduler.polled_at - self._transport.client_idle_timeout_ns // 2,
         )
         self._stream.buffer.consumed_to(self._stream.buffer.end)
         self._skipper = None
-        self._clients.message_budget.release(self)
+        self.clients.message_budget.release(self)
         self._append_slot().answer(resp.error_reply(text))
 
     def _poll_mask(self) -> int:
@@ -335,7 +353,7 @@
 
     def _is_paused(self) -> bool:
         """Return whether reading is still throttled; resume it once the pause is over."""
-        if self._clients.scheduler.clock.now() < self._paused_until:
+        if self.clients.scheduler.clock.now() < self._paused_until:
             return True
         self._paused_until = None
         self._stream.events |= READ
@@ -346,7 +364,7 @@
         if self._framing_lost:
             return
         if self.commands and not self._has_unprocessed_input:
-            self.last_activity = self._clients.scheduler.polled_at
+            self.last_activity = self.clients.scheduler.polled_at
         try:
             self._parse_commands()
             for _ in range(16):  # then other connections get their turn; poll reports the rest again
@@ -358,12 +376,12 @@
 
     def _reject_input(self, problem: ProtocolError) -> None:
         """Handle input that is not the protocol: answer with an error and read nothing more."""
-        self._clients.malformed += 1
+        self.clients.malformed += 1
         self._fail_framing(f"ERR {problem}")
 
     def _parse_commands(self) -> None:
         """Process the complete commands in the buffer, the common form of a request with a fast parser."""
-        buffer, names = self._stream.buffer, self._clients.config.names
+        buffer, names = self._stream.buffer, self.clients.config.names
         while buffer.end > buffer.start and not self._is_full() and not self._paused_until:
             if self._skipper is not None:
                 if not self._skip_input(self._skipper):
@@ -379,13 +397,13 @@
             if command is None:
                 return
             self._command_received()
-            self.last_activity = self._clients.scheduler.polled_at
+            self.last_activity = self.clients.scheduler.polled_at
             self._handle_command(command)
 
     def _command_received(self) -> None:
         """Note that the last byte of a command has been read."""
         self.commands += 1
-        self._clients.message_budget.release(self)
+        self.clients.message_budget.release(self)
 
     def skip_command(self) -> None:
         """Discard the command that is partly read; called by its own task or by another connection's."""
@@ -394,7 +412,7 @@
             self._skip_input(self._skipper)
         except ProtocolError as problem:
             self._reject_input(problem)
-            self._clients.scheduler.wake(self.task)
+            self.clients.scheduler.wake(self.task)
 
     def _skip_input(self, skipper: resp.CommandSkipper) -> bool:
         """Discard what has been read of a command; refuse it and return True once it is complete."""
@@ -404,12 +422,12 @@
             return False
         self._skipper = None
         self.commands += 1
-        self.last_activity = self._clients.scheduler.polled_at
-        self._clients.module.refuse_skipped(self._append_slot())
+        self.last_activity = self.clients.scheduler.polled_at
+        self.clients.module.refuse_for_memory(self._append_slot())
         return True
 
     def _append_slot(self) -> Slot:
-        slot = Slot(self, self._clients.scheduler.turns)
+        slot = Slot(self, self.clients.scheduler.turns)
         self.slots.append(slot)
         return slot
 
@@ -419,7 +437,7 @@
             self._parse_request(slot, command)
         elif verb == b"PING":
             slot.answer(
-                resp.simple_string("PONG") if self._clients.module.is_ready else resp.error_reply("LOADING")
+                resp.simple_string("PONG") if self.clients.module.is_ready else resp.error_reply("LOADING")
             )
         else:
             self._reject(slot, "unknown command")
@@ -429,23 +447,26 @@
 
         Reading from a client that sends many of them in a row is throttled for the sake of the others.
         """
-        self._clients.bad_requests += 1
+        self.clients.bad_requests += 1
         self._bad_in_row += 1
         if self._bad_in_row >= self._transport.bad_requests_before_pause:
-            self._paused_until = self._clients.scheduler.clock.now() + self._transport.pause_ns
+            self._paused_until = self.clients.scheduler.clock.now() + self._transport.pause_ns
         slot.answer(resp.error_reply(f"ERR {text}"))
 
     def _parse_request(self, slot: Slot, command: resp.Command) -> None:
         try:
-            job = jobs.parse_request(command, self._clients.config.names)
+            job = jobs.parse_request(command, self.clients.config.names)
         except BadRequestError as problem:
             return self._reject(slot, str(problem))
         self._submit(slot, job)
 
     def _submit(self, slot: Slot, job: ClientRequest) -> None:
-        """Pass a request to the module, with the time that it may have been unread."""
-        slot.job, self._bad_in_row = job, 0
-        self._clients.module.handle_request(job, slot, max(self._clients.scheduler.lag, self._waited))
+        """Pass a request to the module, or refuse it if there is no memory for its answer."""
+        self._bad_in_row = 0
+        if self.clients.message_budget.expect_answer(len(self.slots)):
+            slot.submit(job, max(self.clients.scheduler.lag, self._waited))
+        else:
+            self.clients.module.refuse_for_memory(slot)
 
     def _flush(self) -> None:
         """Write unsent bytes and the answers whose turn it is."""
@@ -481,7 +502,7 @@
         self.config, self.scheduler, self.module = config, scheduler, module
         self.connections: set[Connection] = set()
         self.message_budget = MessageBudget(
-            scheduler.message_memory, config.budget.message_bytes, config.transport.skippable_after_ns
+            scheduler.message_memory, config.budget.message_bytes, config.transport
         )
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._next_eviction_at = self._full_since = 0
--- a/loftroute/relay/message_budget.py
+++ b/loftroute/relay/message_budget.py
@@ -1,11 +1,13 @@
-"""Decides which commands may take memory, so that all messages together stay within a limit.
+"""Decides which messages may take memory, so that all together stay within a limit.
 
-Each connection has a chunk of the usual size for its own. A command that needs a larger one asks here. There
-is no I/O; times are nanoseconds.
+Each connection has a chunk of the usual size for its own. A command that needs a larger one asks here, and so
+does each request for the memory of its answer. There is no I/O; times are nanoseconds.
 """
 
 from typing import Protocol
 
+from loftroute.config import Transport
+from loftroute.protocol import resp
 from loftroute.runtime.memory import MemoryAccount
 
 
@@ -22,16 +24,15 @@
 
     Attributes:
         limit_bytes: bytes that all messages may take.
+        answers_expected: number of requests whose answers have not come.
         commands_skipped: number of commands that were discarded for lack of memory.
     """
 
-    def __init__(self, account: MemoryAccount, limit_bytes: int, min_hold_ns: int) -> None:
-        """Create a budget over the memory that `account` counts.
-
-        An incomplete command may hold its memory for `min_hold_ns`, after that as long as no other needs it.
-        """
-        self._account, self.limit_bytes, self._min_hold_ns = account, limit_bytes, min_hold_ns
+    def __init__(self, account: MemoryAccount, limit_bytes: int, transport: Transport) -> None:
+        """Create a budget over the memory that `account` counts."""
+        self._account, self.limit_bytes, self._transport = account, limit_bytes, transport
         self._holders: dict[Receiver, int] = {}  # time of the first allocation; the earliest comes first
+        self.answers_expected = 0
         self.commands_skipped = 0
 
     def allocate(self, receiver: Receiver, size: int, now: int) -> bool:
@@ -40,11 +41,11 @@
         If they are not free, the commands that have been incomplete for longest are discarded first. A
         connection that gets False has to discard its own.
         """
-        while not self._has_room(size) and (oldest := self._oldest_holder(now)) not in (None, receiver):
+        while self._free_bytes() < size and (oldest := self._oldest_holder(now)) not in (None, receiver):
             self.release(oldest)
             self.commands_skipped += 1
             oldest.skip_command()
-        if self._has_room(size):
+        if self._free_bytes() >= size:
             self._holders.setdefault(receiver, now)
             return True
         self.release(receiver)
@@ -55,11 +56,31 @@
         """Note that the command of a connection is complete, discarded or given up."""
         self._holders.pop(receiver, None)
 
-    def _has_room(self, size: int) -> bool:
-        return self._account.used_bytes + size <= self.limit_bytes
+    def expect_answer(self, outstanding: int) -> bool:
+        """Return whether a request may be taken; its answer then has memory until `answer_ended`.
+
+        `outstanding` is the number of commands on its connection whose answers have not been sent, with its
+        own. Answers wait there for those of earlier commands, so that a few connections could take all of the
+        memory; once half of it is in use, each is limited to a few commands.
+        """
+        is_scarce = self._account.used_bytes > self.limit_bytes // 2
+        if is_scarce and outstanding > self._transport.max_pipelined_if_scarce:
+            return False
+        if self._free_bytes() < resp.VALUE_LIMIT:
+            return False
+        self.answers_expected += 1
+        return True
+
+    def answer_ended(self) -> None:
+        """Note that the answer of a request has come, or is not wanted any more."""
+        self.answers_expected -= 1
+
+    def _free_bytes(self) -> int:
+        """Return what is left beside the messages in memory and the answers to come, of the maximum size."""
+        return self.limit_bytes - self._account.used_bytes - self.answers_expected * resp.VALUE_LIMIT
 
     def _oldest_holder(self, now: int) -> Receiver | None:
         """Return the connection whose command has been incomplete for longest, if that is long enough."""
         for receiver, since in self._holders.items():
-            return receiver if now - since >= self._min_hold_ns else None
+            return receiver if now - since >= self._transport.skippable_after_ns else None
         return None
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -210,8 +210,8 @@
         self.requests += 1
         self.mailbox.put(job.arrival_event(left))
 
-    def refuse_skipped(self, ticket: Ticket) -> None:
-        """Answer a command that was discarded unread, for lack of memory.
+    def refuse_for_memory(self, ticket: Ticket) -> None:
+        """Answer a command for which there is no memory; nothing of it was forwarded.
 
         It has no effect of its own. Where an earlier call with its id may have run, which only its record
         tells, a refusal would promise too much.
