Keep slices of a long key and list instead of copies, and compare keys by digest

Callers saw: nothing yet; the platform would have killed a relay near its limit. With messages held to 16 MB at 64 MB, 450 whole requests of 192 KiB at units that never answer brought the relay to 59,144 kB ("messages KB 15685, memory MB 56").

Cause: `ClientRequest` kept the key as a text and the list in two copies, up to 128 KiB a request, and four times the key where it is not ASCII; `encode_attempt` copied the list once more; `min_build_by_key` keeps a served key until older builds are gone. No chunk refers to these, so that the account does not see them.

Change: a request holds slices, a long list is sent in pieces, and the module, which only compares keys, gets a digest of those over 64 bytes. Recall decodes the whole key where it asks for it. Usual requests are encoded as before.

--- a/loftroute/protocol/jobs.py
+++ b/loftroute/protocol/jobs.py
@@ -6,6 +6,7 @@
 times in this module are nanoseconds.
 """
 
+import hashlib
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -29,6 +30,8 @@
 # costs milliseconds, again with each piece that arrives.
 HEAD_LIMIT = 1024
 
+# Longest key that the decision module gets as it is; it gets a digest of a longer one.
+NAME_LIMIT = 64
 
 # An error reply of a unit: BUSY means that the request never ran, any other word that it failed. Text of any
 # other form leaves open whether it ran.
@@ -67,11 +70,11 @@
 
 @dataclass(slots=True, eq=False)
 class ClientRequest:
-    """A request of a client. `head` and `tail` are slices of the buffer that it was read into.
+    """A request of a client. What may be long are slices of the buffer that it was read into.
 
     Attributes:
         id: id of the request, 16 hexadecimal digits.
-        key: the key that the request is about.
+        raw_key: the key that the request is about, UTF-8.
         class_index: number of the request class.
         tenant: number of the tenant.
         time_left: time until the client's deadline when the request was sent.
@@ -84,7 +87,7 @@
     """
 
     id: str
-    key: str
+    raw_key: bytes | memoryview
     class_index: int
     tenant: int
     time_left: int
@@ -92,19 +95,32 @@
     cost_hint: int | None
     head: memoryview
     tail: memoryview
-    fields_before: bytes
-    fields_after: bytes
+    fields_before: bytes | memoryview
+    fields_after: bytes | memoryview
+
+    @property
+    def key(self) -> str:
+        """The key as text."""
+        return str(self.raw_key, "utf-8")
 
     def arrival_event(self, left: int) -> i.RequestArrived:
-        """Return the event for the decision module; `left` is the time until the deadline."""
+        """Return the event for the decision module; `left` is the time until the deadline.
+
+        The module only compares keys, and remembers them beyond the request.
+        """
+        key = self.key if len(self.raw_key) <= NAME_LIMIT else hashlib.blake2b(self.raw_key).hexdigest()[:32]
         return i.RequestArrived(
-            self.id, self.key, self.tenant, self.class_index, self.cost_hint, left, self.is_retry, False
+            self.id, key, self.tenant, self.class_index, self.cost_hint, left, self.is_retry, False
         )
 
     def encode_attempt(self, wait: int) -> list[resp.Piece]:
         """Return the command for a unit, which differs only in `d`: the time that the relay waits."""
-        fields = b"%bd=%d%b" % (self.fields_before, max(1, -(-wait // MS)), self.fields_after)
-        return [self.head, b"$%d\r\n%b\r\n" % (len(fields), fields), self.tail]
+        before, after = self.fields_before, self.fields_after
+        time_field = b"d=%d" % max(1, -(-wait // MS))
+        size = len(before) + len(time_field) + len(after)
+        if size <= HEAD_LIMIT:
+            return [self.head, b"$%d\r\n%b%b%b\r\n" % (size, before, time_field, after), self.tail]
+        return [self.head, b"$%d\r\n" % size, before, time_field, after, b"\r\n", self.tail]
 
 
 def parse_usual_request(
@@ -149,7 +165,7 @@
     view, fields_at = memoryview(data), match.start(5)
     return ClientRequest(
         request_id.decode(),
-        key.decode(),
+        key,
         class_index,
         tenant,
         int(wait) * MS,
@@ -187,11 +203,12 @@
     time_left = _integer(values, "d") * MS
     if time_left <= 0:
         raise BadRequestError("d: a time wanted")
-    before, after = _around(listed, f"d={values['d']}")
+    before, after = _around(arguments[3], b"d=%b" % values["d"].encode())
+    _text(arguments[1], "key")
     raw, offsets = command.raw, command.offsets
     return ClientRequest(
         request_id,
-        _text(arguments[1], "key"),
+        arguments[1],
         class_index,
         _index(values, "t", names.tenants) if names.tenants else 0,
         time_left,
@@ -215,10 +232,11 @@
     return values
 
 
-def _around(listed: str, field: str) -> tuple[bytes, bytes]:
+def _around(listed: memoryview, field: bytes) -> tuple[memoryview, memoryview]:
     """Return the list of fields before and after one of them."""
-    at = 0 if listed.startswith(field) else listed.index("," + field) + 1
-    return listed[:at].encode(), listed[at + len(field) :].encode()
+    text = bytes(listed)
+    at = 0 if text.startswith(field) else text.index(b"," + field) + 1
+    return listed[:at], listed[at + len(field) :]
 
 
 def _text(argument: memoryview, what: str) -> str:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+import tracemalloc
 
 import pytest
 from hypothesis import example, given, settings
@@ -186,6 +187,35 @@
     assert after == len(raw) and jobs.parse_request(command, NAMES).key == "k" * 3000
 
 
+def test_a_large_request_holds_nothing_but_slices_of_its_buffer():
+    """Guards against copies of long keys and lists, which no bound on memory counts."""
+    limit = resp.VALUE_LIMIT
+    for key in (b"k" * limit, "\N{BRAIN}".encode() + b"k" * (limit - 4)):
+        fields = b"c=put,t=acme,d=480,k=" + b"5" * 60_000
+        raw = bytearray(joined(resp.array([b"Q.DO", key, b"9b1f03aa5c7e2d41", fields, b"BODY"])))
+        tracemalloc.start()
+        job = jobs.parse_request(resp.parse_command(raw, 0, len(raw))[0], NAMES)
+        event, pieces = job.arrival_event(5), job.encode_attempt(480 * MS)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert held_bytes < 8192 and joined(pieces) == raw and job.key == key.decode()
+        assert len(event.key) <= jobs.NAME_LIMIT
+
+
+def test_the_decision_module_gets_equal_keys_for_equal_ones_only():
+    def key_of(text):
+        raw = joined(resp.array([b"Q.ASK", text, b"9b1f03aa5c7e2d41", b"c=read,t=acme,d=480"]))
+        return jobs.parse_request(resp.parse_command(raw, 0, len(raw))[0], NAMES).arrival_event(5).key
+
+    keys = [b"k" * length + end for length in (3, 62, 63, 64, 3000) for end in (b"a", b"b")]
+    assert len({key_of(key) for key in keys}) == len(keys)
+    for key in keys[:-2]:  # the others are too long for the fast path
+        raw = joined(resp.array([b"Q.ASK", key, b"9b1f03aa5c7e2d41", b"c=read,t=acme,d=480"]))
+        job, _ = jobs.parse_usual_request(raw, 0, len(raw), NAMES)
+        assert job.arrival_event(5).key == key_of(key)
+    assert [key_of(key) for key in keys[:6]] == [key.decode() for key in keys[:6]]
+
+
 def test_the_usual_request_takes_the_fast_path():
     listed = b"c=put,t=acme,d=480,k=5c0f6e1a2b3d4c59,r=1,h=700"
     raw = joined(resp.array([b"Q.DO", b"7f3a", b"9b1f03aa5c7e2d41", listed, b"BODY"]))
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -41,7 +41,9 @@
     def send(self, key: str) -> None:
         """Send an attempt of a safe request with this key."""
         head = memoryview(b"*4\r\n$5\r\nQ.ASK\r\n$1\r\n%b\r\n$16\r\n%016d\r\n" % (key.encode(), 1))
-        job = jobs.ClientRequest("1", key, 0, 0, SECOND, False, None, head, memoryview(b""), b"c=read,", b"")
+        job = jobs.ClientRequest(
+            "1", key.encode(), 0, 0, SECOND, False, None, head, memoryview(b""), b"c=read,", b""
+        )
         now = self.scheduler.clock.now()
         self.units.send(
             Attempt(
