Test: each command gets one answer in turn, whatever large commands are discarded

The bound on messages discards a command at any byte, by its own connection or for another's sake. Eight seeded plays send 24 commands of four kinds in pieces of 1 to 70,000 bytes and move the limit at random; the answers must be as many as the commands, in their order, of their kind, with as many -BUSY as the counter says.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,6 +1,7 @@
 """Large and unfinished messages of many clients: their memory is bounded, and others are served."""
 
 import contextlib
+import random
 import socket
 import threading
 import time
@@ -11,11 +12,11 @@
 
 from loftroute.config import Transport
 from loftroute.lab.standins import Unit, command, eventually
-from loftroute.protocol import ProtocolError, resp
+from loftroute.protocol import IncompleteMessageError, ProtocolError, resp
 from loftroute.relay.message_budget import MessageBudget
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.stream import Buffer
-from tests.stepped import MS, ask, got, reset, served_at, value
+from tests.stepped import MS, ask, got, reset, served, served_at, value
 from tests.test_protocol import joined, quick
 from tests.test_runtime import fill
 
@@ -34,6 +35,15 @@
     return raw.replace(b"*4", b"*5", 1) + b"$%d\r\n%b\r\n" % (len(body), body)
 
 
+def serve_whole_requests(unit):
+    """Answer the requests that a unit has heard completely; each connection carries one at a time."""
+    for peer, heard in unit.heard.items():
+        with contextlib.suppress(IncompleteMessageError):
+            resp.parse_command(heard, 0, len(heard))
+            unit.heard[peer] = b""
+            peer.sendall(served(b"V"))
+
+
 HALF = -resp.VALUE_LIMIT // 2  # where a large request is cut in the middle of its body
 
 
@@ -200,6 +210,38 @@
     assert receive(cluster, client, len(expected)) == expected
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_each_command_gets_one_answer_in_turn_whatever_is_discarded(world, seed):
+    """Guards against lost, doubled or exchanged answers, with large commands discarded at random moments."""
+    rng, cluster = random.Random(seed), world(limits=LIMITS)
+    budget, memory = cluster.relay.clients.message_budget, cluster.scheduler.message_memory
+    client, usual_limit = cluster.client(), budget.limit_bytes
+    kinds = [rng.choice(["ping", "bad", "small", "large"]) for _ in range(24)]
+    raw_by_kind = {"ping": lambda: command("PING"), "bad": lambda: command("WHAT"), "small": ask}
+    raw = b"".join(raw_by_kind.get(kind, large_request)() for kind in kinds)
+    received, position = b"", 0
+    while position < len(raw):
+        piece = raw[position : position + rng.choice([1, 50, 5_000, 70_000])]
+        with contextlib.suppress(BlockingIOError):
+            position += client.send(piece)
+        cluster.step(5, 2)
+        serve_whole_requests(cluster.units["u0"])
+        budget.limit_bytes = rng.choice([usual_limit, usual_limit, memory.used_bytes + 80_000])
+        received += got(client)
+    budget.limit_bytes = usual_limit
+    for _ in range(400):
+        cluster.step(5, 2)
+        serve_whole_requests(cluster.units["u0"])
+        received += got(client)
+    allowed = {"ping": {b"+PONG"}, "bad": {b"-ERR unknown command"}}
+    answers = received.replace(value(b"V"), b"V\r\n").split(b"\r\n")
+    assert answers.pop() == b"" and len(answers) == len(kinds)
+    for kind, answer in zip(kinds, answers, strict=True):
+        assert answer in allowed.get(kind, {b"V", RETRY.strip()})
+    refused = answers.count(RETRY.strip())
+    assert refused == cluster.relay.module.counters["no memory"] and refused < len(kinds)
+
+
 def test_a_client_that_drips_into_a_discarded_command_gets_its_error_in_time(world):
     """Guards against a discarded command that each further byte keeps alive."""
     cluster = world(limits=LIMITS)
