Cost of a request: ask for large chunks and give them back only where there are any

Change: whether a chunk is large is looked at only behind a partly read command; a usual command returns none; the empty buffer and the small list of fields take the path that they had.

--- a/loftroute/protocol/jobs.py
+++ b/loftroute/protocol/jobs.py
@@ -115,11 +115,12 @@
 
     def encode_attempt(self, wait: int) -> list[resp.Piece]:
         """Return the command for a unit, which differs only in `d`: the time that the relay waits."""
-        before, after = self.fields_before, self.fields_after
-        time_field = b"d=%d" % max(1, -(-wait // MS))
+        before, after, milliseconds = self.fields_before, self.fields_after, max(1, -(-wait // MS))
+        if len(before) + len(after) <= HEAD_LIMIT:
+            fields = b"%bd=%d%b" % (before, milliseconds, after)
+            return [self.head, b"$%d\r\n%b\r\n" % (len(fields), fields), self.tail]
+        time_field = b"d=%d" % milliseconds
         size = len(before) + len(time_field) + len(after)
-        if size <= HEAD_LIMIT:
-            return [self.head, b"$%d\r\n%b%b%b\r\n" % (size, before, time_field, after), self.tail]
         return [self.head, b"$%d\r\n" % size, before, time_field, after, b"\r\n", self.tail]
 
 
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -36,25 +36,17 @@
             invariants.check(False, "a request is answered once")
             return
         self.pieces = pieces
-        self._take_job()
+        if self.job:
+            self.job = None  # its slices are not needed any more
+            self._connection.clients.message_budget.answer_ended()
         self._connection.slot_answered(self)
 
-    def submit(self, job: ClientRequest, waited: int) -> None:
-        """Pass the request to the module; `waited` is the time that it may have been unread (nanoseconds)."""
-        self.job = job
-        self._connection.clients.module.handle_request(job, self, waited)
-
     def abandon(self) -> None:
         """Tell the module that the client has gone, if the request is open."""
-        if job := self._take_job():
-            self._connection.clients.module.client_gone(job)
-
-    def _take_job(self) -> ClientRequest | None:
-        """Return the request if it is open, and end it here: its slices and its answer's memory are free."""
         job, self.job = self.job, None
         if job:
             self._connection.clients.message_budget.answer_ended()
-        return job
+            self._connection.clients.module.client_gone(job)
 
     def served(self, answer: AttemptResult) -> None:
         """Answer with the value of a successful attempt."""
@@ -90,6 +82,7 @@
         self.mailbox: Mailbox[Slot] = Mailbox(clients.scheduler, self._transport.max_pipelined + 1)
         self._framing_lost = False  # after a protocol error nothing more is read
         self._skipper: resp.CommandSkipper | None = None  # set while a command is discarded
+        self._has_large_chunk = False  # for the command that is partly read
         # Set once the client has half-closed: requests may be started until then; 0 once that time is over.
         self._half_close_deadline: int | None = None
         self._unsent_since: int | None = None  # since when an answer is partly written
@@ -220,16 +213,25 @@
 
         A command that there is no memory for is discarded from here on.
         """
-        stream = self._stream
-        if not stream.events:
-            return False
-        size = stream.buffer.next_allocation()
-        if size > self._transport.initial_buffer_bytes and not self.clients.message_budget.allocate(
-            self, size, self.clients.scheduler.polled_at
-        ):
-            self.skip_command()
+        stream, buffer = self._stream, self._stream.buffer
+        if buffer.end > buffer.start and stream.events and buffer.is_full():
+            self._allocate_for_command(buffer.next_chunk_size())
         return not self._framing_lost and stream.read()
 
+    def _allocate_for_command(self, size: int) -> None:
+        """Take memory for the command that is partly read, or discard it if there is none."""
+        if size <= self._transport.initial_buffer_bytes:
+            return
+        if self.clients.message_budget.allocate(self, size, self.clients.scheduler.polled_at):
+            self._has_large_chunk = True
+        else:
+            self.skip_command()
+
+    def _large_chunk_left(self) -> None:
+        """Note that the command with a large chunk is complete, discarded or given up."""
+        self._has_large_chunk = False
+        self.clients.message_budget.release(self)
+
     def _close_gracefully(self) -> None:
         """End the sending side at a shutdown and wait for the client to close.
 
@@ -274,7 +276,7 @@
     def _release(self) -> None:
         """Close the socket and report the open requests as abandoned."""
         self._stream.close()
-        self.clients.message_budget.release(self)
+        self._large_chunk_left()
         for slot in self.slots:
             slot.abandon()
         self.slots.clear()
@@ -341,7 +343,7 @@
         )
         self._stream.buffer.consumed_to(self._stream.buffer.end)
         self._skipper = None
-        self.clients.message_budget.release(self)
+        self._large_chunk_left()
         self._append_slot().answer(resp.error_reply(text))
 
     def _poll_mask(self) -> int:
@@ -363,7 +365,7 @@
         """Read and process input, up to a limit per turn."""
         if self._framing_lost:
             return
-        if self.commands and not self._has_unprocessed_input:
+        if self.commands and not len(self._stream.buffer) and self._skipper is None:
             self.last_activity = self.clients.scheduler.polled_at
         try:
             self._parse_commands()
@@ -390,23 +392,23 @@
             parsed = jobs.parse_usual_request(buffer.data, buffer.start, buffer.end, names)
             if parsed:
                 buffer.consumed_to(parsed[1])
-                self._command_received()
+                self.commands += 1
+                if self._has_large_chunk:
+                    self._large_chunk_left()
                 self._submit(self._append_slot(), parsed[0])
                 continue
             command = buffer.parse(resp.parse_command)
             if command is None:
                 return
-            self._command_received()
+            self.commands += 1
+            if self._has_large_chunk:
+                self._large_chunk_left()
             self.last_activity = self.clients.scheduler.polled_at
             self._handle_command(command)
 
-    def _command_received(self) -> None:
-        """Note that the last byte of a command has been read."""
-        self.commands += 1
-        self.clients.message_budget.release(self)
-
     def skip_command(self) -> None:
         """Discard the command that is partly read; called by its own task or by another connection's."""
+        self._has_large_chunk = False
         self._skipper = resp.CommandSkipper(self._transport.max_message_bytes)
         try:
             self._skip_input(self._skipper)
@@ -464,7 +466,8 @@
         """Pass a request to the module, or refuse it if there is no memory for its answer."""
         self._bad_in_row = 0
         if self.clients.message_budget.expect_answer(len(self.slots)):
-            slot.submit(job, max(self.clients.scheduler.lag, self._waited))
+            slot.job = job
+            self.clients.module.handle_request(job, slot, max(self.clients.scheduler.lag, self._waited))
         else:
             self.clients.module.refuse_for_memory(slot)
 
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -56,18 +56,20 @@
         self.start = self.end = 0
         self.need = 1
 
-    def next_allocation(self) -> int:
-        """Return the size of the chunk that the next read needs; 0 if the current one has room for it."""
-        size = len(self.data)
-        if size - self.end >= self._chunk // 4 and self.start + self.need <= size:
-            return 0
+    def next_chunk_size(self) -> int:
+        """Return the size of the next chunk, for what is not parsed and what it needs."""
         # The need may be the least that the rest can have: a few bytes more save a second move.
         return max(self._chunk, self.need + self._chunk // 16, self.end - self.start + self._chunk // 2)
 
+    def is_full(self) -> bool:
+        """Return whether the next read needs a new chunk."""
+        size = len(self.data)
+        return size - self.end < self._chunk // 4 or self.start + self.need > size
+
     def free_space(self) -> memoryview:
         """Return the memory to read into, which is never empty."""
-        if size := self.next_allocation():
-            self._move_to_chunk(size)
+        if self.is_full():
+            self._move_to_chunk(self.next_chunk_size())
         return memoryview(self.data)[self.end :]
 
     def _move_to_chunk(self, size: int) -> None:
@@ -91,17 +93,20 @@
                 raise ProtocolError("message too long") from None
             self.need = more.total_bytes
             return None
-        self.consumed_to(self.start)
+        self.need = 1
+        if len(self.data) > self._chunk:
+            self._leave_large_chunk()
         return message
 
     def consumed_to(self, start: int) -> None:
-        """Set the offset at which the next message begins, after a message was parsed without `parse`.
-
-        A chunk larger than usual is left as soon as the rest fits into a usual one, so that a connection at
-        rest does not keep it.
-        """
+        """Set the offset at which the next message begins, after a message was parsed without `parse`."""
         self.start, self.need = start, 1
-        if len(self.data) > self._chunk and self.end - start <= self._chunk // 2:
+        if len(self.data) > self._chunk:
+            self._leave_large_chunk()
+
+    def _leave_large_chunk(self) -> None:
+        """Move to a usual chunk if the rest fits, so that a connection at rest does not keep a larger one."""
+        if self.end - self.start <= self._chunk // 2:
             self._move_to_chunk(self._chunk)
 
     def __len__(self) -> int:
