Client connection and listener in modules of their own

`relay/clients.py` had grown to 649 lines with two jobs: a connection's commands and answers, and the listener with the limits that all connections share. `Slot` and `Connection` move to `relay/client_connection.py` as they are (482 lines), `Clients` stays (177).

--- /dev/null
+++ b/loftroute/relay/client_connection.py
@@ -0,0 +1,482 @@
+"""One client connection over RESP2 (Redis serialization protocol): commands in, answers in their order."""
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from loftroute import invariants
+from loftroute.protocol import ProtocolError, jobs, resp
+from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
+from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Task
+from loftroute.runtime.stream import Stream
+
+if TYPE_CHECKING:
+    from loftroute.relay.clients import Clients
+
+
+class Slot:
+    """Position of one command in the order of answers; also the ticket of its request.
+
+    Attributes:
+        job: the request, from when it is submitted until it is answered or abandoned.
+        pieces: the encoded answer, once there is one.
+        turn: the scheduler's turn in which the command was read.
+    """
+
+    __slots__ = ("_connection", "job", "pieces", "turn")
+
+    def __init__(self, connection: "Connection", turn: int) -> None:
+        self._connection, self.turn = connection, turn
+        self.job: ClientRequest | None = None
+        self.pieces: list[resp.Piece] | None = None
+
+    def answer(self, pieces: list[resp.Piece]) -> None:
+        """Set the encoded answer; the connection sends it in the order of the commands."""
+        if self.pieces is not None:
+            invariants.check(False, "a request is answered once")
+            return
+        self.pieces = pieces
+        if self.job:
+            self.job = None  # its slices are not needed any more
+            self._connection.clients.message_budget.answer_ended()
+        self._connection.slot_answered(self)
+
+    def abandon(self) -> None:
+        """Tell the module that the client has gone, if the request is open."""
+        job, self.job = self.job, None
+        if job:
+            self._connection.clients.message_budget.answer_ended()
+            self._connection.clients.module.client_gone(job)
+
+    def served(self, answer: AttemptResult) -> None:
+        """Answer with the value of a successful attempt."""
+        self.answer([answer.framed] if answer.framed is not None else resp.bulk_string(answer.value))
+
+    def refused(self, retry_after_ms: int) -> None:
+        """Answer BUSY, with the time until a retry if it is not 0."""
+        self.answer(resp.error_reply(f"BUSY {retry_after_ms}" if retry_after_ms > 0 else "BUSY"))
+
+    def failed(self) -> None:
+        """Answer with an error: the request may have run."""
+        self.answer(resp.error_reply("ERR failed"))
+
+
+class Connection:
+    """One client connection: reads pipelined commands and sends the answers in the same order.
+
+    Attributes:
+        clients: all client connections and what they share.
+        slots: commands whose answers have not been written, in order.
+        mailbox: slots that have got their answer.
+        commands: number of complete commands received.
+        last_activity: time of the last command or answer, or of the first byte of the next command
+            (nanoseconds).
+        task: the task that serves the connection.
+    """
+
+    def __init__(self, clients: "Clients", stream: Stream, waited: int) -> None:
+        self.clients, self._stream = clients, stream
+        self._waited = waited  # how long the connection may have waited to be accepted (nanoseconds)
+        self._transport = clients.config.transport
+        self.slots: deque[Slot] = deque()
+        self.mailbox: Mailbox[Slot] = Mailbox(clients.scheduler, self._transport.max_pipelined + 1)
+        self._framing_lost = False  # after a protocol error nothing more is read
+        self._skipper: resp.CommandSkipper | None = None  # set while a command is discarded
+        self._has_large_chunk = False  # for the command that is partly read
+        # Set once the client has half-closed: requests may be started until then; 0 once that time is over.
+        self._half_close_deadline: int | None = None
+        self._unsent_since: int | None = None  # since when an answer is partly written
+        self._bad_in_row = 0  # bad requests since the last good one
+        self._paused_until: int | None = None  # nothing is read before then
+        self.commands = 0
+        self.last_activity = clients.scheduler.polled_at
+        self.task: Task = clients.scheduler.spawn("client", self._run)
+        self.mailbox.owner = self.task
+
+    def _is_full(self) -> bool:
+        return (
+            len(self.slots) >= self._transport.max_pipelined
+            or self._stream.unsent_bytes > self._transport.max_unsent_bytes
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is open, partly read or partly written, and poll has reported no event."""
+        return not (self._is_in_use or self._stream.events)
+
+    @property
+    def _is_in_use(self) -> bool:
+        """Whether a command is open or partly read or an answer is partly written."""
+        return bool(self.slots or self._stream.unsent_bytes or self._has_unprocessed_input)
+
+    @property
+    def _has_unprocessed_input(self) -> bool:
+        """Whether a command has been read in part, or has been read and waits for its turn."""
+        return bool(len(self._stream.buffer)) or self._skipper is not None
+
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a command waits for its answer; after a protocol error none does."""
+        return bool(self.slots) and not self._framing_lost
+
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the client has ended its sending side; most clients that do so have closed."""
+        return self._half_close_deadline is not None
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that the client has not read."""
+        return self._stream.unsent_bytes
+
+    @property
+    def partly_read(self) -> int:
+        """Bytes of commands that have been read and not been processed."""
+        return len(self._stream.buffer)
+
+    @property
+    def held_answer_bytes(self) -> int:
+        """Bytes of answers that wait for those of earlier commands."""
+        return sum(len(piece) for slot in self.slots for piece in slot.pieces or ())
+
+    def is_slow_reader(self, now: int) -> bool:
+        """Return whether an answer has been partly written for too long.
+
+        A client that reads a few bytes from time to time could otherwise hold its buffer forever.
+        """
+        return self._unsent_since is not None and (
+            now - self._unsent_since
+            > self.clients.config.longest_deadline_ns + self._transport.client_idle_timeout_ns
+        )
+
+    def _run(self) -> None:
+        stream = self._stream
+        try:
+            while True:
+                if self._paused_until and self._is_paused():
+                    pass
+                elif stream.events or stream.buffer.end > stream.buffer.start:
+                    self._read()
+                    self._waited = 0
+                if self.mailbox.items or stream.unsent_bytes:
+                    self._flush()
+                if stream.broken or (stream.ended and not self._awaits_answers()):
+                    return
+                if self._framing_lost and not (self.slots or stream.unsent_bytes):
+                    return self._linger()
+                if self.clients.closing and not self._is_in_use:
+                    if not self._read_once_more():
+                        return self._close_gracefully()
+                    continue
+                stream.wait(self._half_close_deadline or self._paused_until, self._poll_mask())
+        finally:
+            self._release()
+
+    def _awaits_answers(self) -> bool:
+        """Handle a half-close; return whether answers are still to be sent.
+
+        The client has closed, or waits for its answers: the two look the same until something is written.
+        Attempts in progress go on and no others are started. Commands read in the same poll as the end, or in
+        the one before, may still be started for a short time.
+        """
+        clients, clock = self.clients, self.clients.scheduler.clock
+        if (
+            not (self.slots or self._stream.unsent_bytes)
+            or self._framing_lost
+            or clients.module.recall is not None
+        ):
+            return False
+        if self._half_close_deadline is None:
+            # The half-close may have arrived at any time since the last poll.
+            unnoticed = max(clients.scheduler.lag, self._waited)
+            self._half_close_deadline = clock.now() + self._transport.half_close_grace_ns - unnoticed
+            self._report_half_close(clients.scheduler.turns - 1)
+        if self._half_close_deadline and clock.now() >= self._half_close_deadline:
+            self._half_close_deadline = 0
+            self._report_half_close(clients.scheduler.turns + 1)
+        return bool(self.slots or self._stream.unsent_bytes) and not self._stream.broken
+
+    def _report_half_close(self, before_turn: int) -> None:
+        """Report the half-close for the open requests that were read before a turn of the scheduler."""
+        for slot in list(self.slots):
+            if slot.job and slot.turn < before_turn:
+                self.clients.module.client_half_closed(slot.job)
+        self._flush()
+
+    def _read_once_more(self) -> bool:
+        """Return whether data has arrived that poll has not reported yet; it is served before the close."""
+        self._stream.events |= READ
+        return self._receive()
+
+    def _receive(self) -> bool:
+        """Read once and return whether any data was read.
+
+        A command that there is no memory for is discarded from here on.
+        """
+        stream, buffer = self._stream, self._stream.buffer
+        if buffer.end > buffer.start and stream.events and buffer.is_full():
+            self._allocate_for_command(buffer.next_chunk_size())
+        return not self._framing_lost and stream.read()
+
+    def _allocate_for_command(self, size: int) -> None:
+        """Take memory for the command that is partly read, or discard it if there is none."""
+        if size <= self._transport.initial_buffer_bytes:
+            return
+        if self.clients.message_budget.allocate(self, size, self.clients.scheduler.polled_at):
+            self._has_large_chunk = True
+        else:
+            self.skip_command()
+
+    def _large_chunk_left(self) -> None:
+        """Note that the command with a large chunk is complete, discarded or given up."""
+        self._has_large_chunk = False
+        self.clients.message_budget.release(self)
+
+    def _close_gracefully(self) -> None:
+        """End the sending side at a shutdown and wait for the client to close.
+
+        Commands that the client sends meanwhile are left unread, so that it sends them again elsewhere. To
+        close at once, with unread data, would reset the connection and discard answers that the client has
+        not read yet.
+        """
+        stream, clock = self._stream, self.clients.scheduler.clock
+        linger_until = clock.now() + self._transport.linger_ns
+        stream.half_close()
+        stream.events = 0
+        while not stream.ended and clock.now() < linger_until:
+            stream.wait(linger_until, 0)
+
+    def _linger(self) -> None:
+        """End the sending side after a protocol error and discard input for a limited time.
+
+        To close at once, with unread data, would reset the connection and discard the error before the
+        client reads it.
+        """
+        stream, clock = self._stream, self.clients.scheduler.clock
+        linger_until, bytes_left = clock.now() + self._transport.linger_ns, self._transport.max_linger_bytes
+        stream.half_close()
+        while not stream.ended and bytes_left > 0 and clock.now() < linger_until:
+            stream.wait(linger_until, READ)
+            bytes_left -= stream.discard_input()
+
+    def slot_answered(self, slot: Slot) -> None:
+        """Write an answer immediately if it is the next one and nothing before it is unsent."""
+        stream = self._stream
+        if not self.slots or self.slots[0] is not slot or stream.unsent_bytes:
+            self.mailbox.put(slot)
+            return
+        self.slots.popleft()
+        stream.write(slot.pieces)
+        self._track_unsent()
+        if not self._framing_lost:
+            self.last_activity = self.clients.scheduler.polled_at
+        if self.slots or stream.unsent_bytes or stream.ended or self.clients.closing:
+            self.mailbox.put(slot)  # wakes the task for the rest
+
+    def _release(self) -> None:
+        """Close the socket and report the open requests as abandoned."""
+        self._stream.close()
+        self._large_chunk_left()
+        for slot in self.slots:
+            slot.abandon()
+        self.slots.clear()
+        self.clients.connection_closed(self)
+
+    def read_again(self) -> None:
+        """Read once more even if poll has reported nothing, so that a pending request is served first."""
+        self._stream.events |= READ
+        self.clients.scheduler.wake(self.task)
+
+    def _track_unsent(self) -> None:
+        if not self._stream.unsent_bytes:
+            self._unsent_since = None
+        elif self._unsent_since is None:
+            self._unsent_since = self.clients.scheduler.polled_at
+
+    def can_close(self) -> bool:
+        """Return whether the connection may be closed without losing a request.
+
+        Unread data, also data that poll has not reported yet, is read and keeps the connection open. After a
+        protocol error, or while the client does not read its answers, the connection may always be closed.
+        """
+        if self._framing_lost or self._stream.unsent_bytes:
+            return True
+        is_first_input = not self._has_unprocessed_input
+        self._stream.events |= READ
+        if not self._receive():
+            return True
+        if self.commands and is_first_input:  # the first bytes of the next command
+            self.last_activity = self.clients.scheduler.polled_at
+        self.clients.scheduler.wake(self.task)
+        return False
+
+    def evict(self) -> None:
+        """Close the connection to make room: fail its open requests and send the errors if possible."""
+        for slot in self.slots:
+            if slot.job:
+                slot.abandon()
+                slot.pieces = resp.error_reply("ERR failed")
+        self._flush()
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection from another task; its descriptor is free immediately."""
+        self._release()
+        self.clients.scheduler.cancel(self.task)
+
+    def expire(self) -> None:
+        """Close an idle or stalled connection; a client that has sent an incomplete command gets an error."""
+        if self._framing_lost or self._stream.unsent_bytes or not self._has_unprocessed_input:
+            return self.close()
+        self.clients.half_commands += 1
+        self._fail_framing("ERR no whole command in time")
+        self.clients.scheduler.wake(self.task)
+
+    def _fail_framing(self, text: str) -> None:
+        """Send an error after the answers that are still to come, and read nothing more.
+
+        The connection is closed after half of the idle timeout even if earlier answers are still missing.
+        """
+        self._framing_lost, self.last_activity = (
+            True,
+            self.clients.scheduler.polled_at - self._transport.client_idle_timeout_ns // 2,
+        )
+        self._stream.buffer.consumed_to(self._stream.buffer.end)
+        self._skipper = None
+        self._large_chunk_left()
+        self._append_slot().answer(resp.error_reply(text))
+
+    def _poll_mask(self) -> int:
+        """Return the poll events to wait for."""
+        reading = (
+            0 if self._is_full() or self._framing_lost or self._paused_until or self._stream.ended else READ
+        )
+        return reading | (WRITE if self._stream.unsent_bytes else 0)
+
+    def _is_paused(self) -> bool:
+        """Return whether reading is still throttled; resume it once the pause is over."""
+        if self.clients.scheduler.clock.now() < self._paused_until:
+            return True
+        self._paused_until = None
+        self._stream.events |= READ
+        return False
+
+    def _read(self) -> None:
+        """Read and process input, up to a limit per turn."""
+        if self._framing_lost:
+            return
+        if self.commands and not len(self._stream.buffer) and self._skipper is None:
+            self.last_activity = self.clients.scheduler.polled_at
+        try:
+            self._parse_commands()
+            for _ in range(16):  # then other connections get their turn; poll reports the rest again
+                if self._paused_until or not self._stream.events or self._is_full() or not self._receive():
+                    return
+                self._parse_commands()
+        except ProtocolError as problem:
+            self._reject_input(problem)
+
+    def _reject_input(self, problem: ProtocolError) -> None:
+        """Handle input that is not the protocol: answer with an error and read nothing more."""
+        self.clients.malformed += 1
+        self._fail_framing(f"ERR {problem}")
+
+    def _parse_commands(self) -> None:
+        """Process the complete commands in the buffer, the common form of a request with a fast parser."""
+        buffer, names = self._stream.buffer, self.clients.config.names
+        while buffer.end - buffer.start >= buffer.need and not self._is_full() and not self._paused_until:
+            if self._skipper is not None:
+                if not self._skip_input(self._skipper):
+                    return
+                continue
+            parsed = jobs.parse_usual_request(buffer.data, buffer.start, buffer.end, names)
+            if parsed:
+                buffer.consumed_to(parsed[1])
+                self.commands += 1
+                if self._has_large_chunk:
+                    self._large_chunk_left()
+                self._submit(self._append_slot(), parsed[0])
+                continue
+            command = buffer.parse(resp.parse_command)
+            if command is None:
+                return
+            self.commands += 1
+            if self._has_large_chunk:
+                self._large_chunk_left()
+            self.last_activity = self.clients.scheduler.polled_at
+            self._handle_command(command)
+
+    def skip_command(self) -> None:
+        """Discard the command that is partly read; called by its own task or by another connection's."""
+        self._has_large_chunk = False
+        self._skipper = resp.CommandSkipper(self._transport.max_message_bytes)
+        try:
+            self._skip_input(self._skipper)
+        except ProtocolError as problem:
+            self._reject_input(problem)
+            self.clients.scheduler.wake(self.task)
+
+    def _skip_input(self, skipper: resp.CommandSkipper) -> bool:
+        """Discard what has been read of a command; refuse it and return True once it is complete."""
+        buffer = self._stream.buffer
+        buffer.consumed_to(skipper.skip(buffer.data, buffer.start, buffer.end))
+        if not skipper.is_complete:
+            return False
+        self._skipper = None
+        self.commands += 1
+        self.last_activity = self.clients.scheduler.polled_at
+        self.clients.module.refuse_for_memory(self._append_slot())
+        return True
+
+    def _append_slot(self) -> Slot:
+        slot = Slot(self, self.clients.scheduler.turns)
+        self.slots.append(slot)
+        return slot
+
+    def _handle_command(self, command: resp.Command) -> None:
+        slot, verb = self._append_slot(), command.arguments[0]
+        if verb == b"Q.ASK" or verb == b"Q.DO":
+            self._parse_request(slot, command)
+        elif verb == b"PING":
+            slot.answer(
+                resp.simple_string("PONG") if self.clients.module.is_ready else resp.error_reply("LOADING")
+            )
+        else:
+            self._reject(slot, "unknown command")
+
+    def _reject(self, slot: Slot, text: str) -> None:
+        """Answer a bad command, after which the connection can continue, with an error.
+
+        Reading from a client that sends many of them in a row is throttled for the sake of the others.
+        """
+        self.clients.bad_requests += 1
+        self._bad_in_row += 1
+        if self._bad_in_row >= self._transport.bad_requests_before_pause:
+            self._paused_until = self.clients.scheduler.clock.now() + self._transport.pause_ns
+        slot.answer(resp.error_reply(f"ERR {text}"))
+
+    def _parse_request(self, slot: Slot, command: resp.Command) -> None:
+        try:
+            job = jobs.parse_request(command, self.clients.config.names)
+        except BadRequestError as problem:
+            return self._reject(slot, str(problem))
+        self._submit(slot, job)
+
+    def _submit(self, slot: Slot, job: ClientRequest) -> None:
+        """Pass a request to the module, or refuse it if there is no memory for its answer."""
+        self._bad_in_row = 0
+        if self.clients.message_budget.expect_answer(len(self.slots)):
+            slot.job = job
+            self.clients.module.handle_request(job, slot, max(self.clients.scheduler.lag, self._waited))
+        else:
+            self.clients.module.refuse_for_memory(slot)
+
+    def _flush(self) -> None:
+        """Write unsent bytes and the answers whose turn it is."""
+        slots, stream = self.slots, self._stream
+        self.mailbox.items.clear()  # the slots hold the answers; the mailbox only wakes the task
+        if stream.unsent_bytes:
+            stream.events &= ~WRITE
+            stream.flush()
+        while slots and slots[0].pieces is not None:
+            stream.write(slots.popleft().pieces)
+        self._track_unsent()
