--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,8 @@
-"""Discovery's agent answers every call 0.7 s late while a unit drains; new work goes on to that unit."""
+"""Discovery's agent answers every call 0.7 s late while a unit drains; new work goes on to that unit, and is cut."""
 
+import contextlib
 import os
+import socket
 import sys
 import threading
 import time
@@ -9,13 +11,22 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins_2 import BROKEN, HELD, TROUBLE, Unit, run_case, standins  # noqa: E402
 
+MS = 1_000_000
 SLOW_S = 0.7  # by how much each answer of the agent comes later
-GRACE_S = 1.0  # obligations.drain_grace of zagreb-jobs, as in the settings of the relay
 SLACK_S = 0.05 + 0.15  # "every time limit is 50 ms longer", and 150 ms for the threads of the stand-ins
 TOLD_AT_THE_LATEST_S = 6.0  # the bound that holds whatever happens to calls
-WATCHED_S = 15.0  # for so long after the drain commands are looked for
-CLIENTS = 2
-UNIT_TURNS_AWAY = os.environ.get("TURN_AWAY", "0") == "1"  # a variant: -BUSY once the grace is over
+ENDS_S = 12.0  # the draining unit's process ends so long after the drain
+CLIENTS, WORK_S = 12, 0.3
+SITE = os.environ.get("SITE", "zagreb-jobs")
+SETTINGS = {  # how the sites are told of changes, and their grace for drains
+    "zagreb-jobs": {"discovery": "push", "obligations__drain_grace": 1000 * MS},
+    "rijeka-quotes": {
+        "discovery": "ask",
+        "obligations__drain_grace": 500 * MS,
+        "obligations__ask_within": 10_000 * MS,
+    },
+}[SITE]
+GRACE_S = SETTINGS["obligations__drain_grace"] / 1e9
 
 
 class SlowAgent(standins.Discovery):
@@ -36,11 +47,37 @@
         standins.HttpStandIn.answer(handler, status, document)
 
 
+class EndingUnit(Unit):
+    """A unit whose process can end: its connections are reset and new ones are refused."""
+
+    def __init__(self, *arguments):
+        self.open = set()
+        super().__init__(*arguments)
+
+    def _serve(self, sock):
+        self.open.add(sock)
+        with contextlib.suppress(OSError, ValueError):  # the process may end while it serves
+            super()._serve(sock)
+        self.open.discard(sock)
+
+    def end(self):
+        """End the process."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in list(self.open):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.shutdown(socket.SHUT_RDWR)
+        self.record.write(self.name, "has ended")
+
+
 class Load:
-    """A client that asks all the time, on one connection, one request after the other."""
+    """A client that asks all the time, on one connection, one unsafe request after the other."""
 
     def __init__(self, record, relay):
         self.record, self.relay, self.stopped = record, relay, False
+        self.failed = []
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -49,8 +86,10 @@
         while not self.stopped:
             name = self.relay.id()
             self.record.write("client", "sends", id=name)
-            answer = client.ask("Q.ASK", f"key-{name[-4:]}", name, "c=read,t=acme,d=2000")
-            self.record.write("client", "got", id=name, answer=str(answer))
+            answer = client.ask("Q.DO", f"key-{name[-4:]}", name, "c=pay,t=acme,d=3000", "BODY")
+            now = self.record.write("client", "got", id=name, answer=str(answer))
+            if answer is not None and answer.startswith(b"-ERR"):
+                self.failed.append((now, name))
             time.sleep(0.015)
         client.close()
 
@@ -60,9 +99,9 @@
 
 
 def case(record, tmp, started):
-    units = {f"u{n}": Unit(record, f"u{n}", lambda key: 0.005) for n in range(3)}
+    units = {f"u{n}": EndingUnit(record, f"u{n}", lambda key: WORK_S) for n in range(3)}
     standins.Discovery = SlowAgent
-    relay = standins.Relay(tmp, units, discovery="push", obligations__drain_grace=int(GRACE_S * 1e9))
+    relay = standins.Relay(tmp, units, **SETTINGS)
     started.append(relay)
     relay.discovery.record = record
     loads = [Load(record, relay) for _ in range(CLIENTS)]
@@ -73,12 +112,10 @@
     time.sleep(2.0)
     relay.discovery.change(u0={"lifecycle": "DRAINING"})
     drained_at = record.write("discovery", "the agent has: u0 drains")
-    if UNIT_TURNS_AWAY:  # else it goes on serving what comes: its process runs until its machine is taken away
-        time.sleep(GRACE_S)
-        units["u0"].behavior = "busy"
-        time.sleep(WATCHED_S - GRACE_S)
-    else:
-        time.sleep(WATCHED_S)
+    time.sleep(ENDS_S)
+    ended_at = record.now()
+    units["u0"].end()
+    time.sleep(1.0)
     for load in loads:
         load.stop()
 
@@ -87,14 +124,16 @@
 
     late = came_after("u0", GRACE_S + SLACK_S)
     very_late = came_after("u0", TOLD_AT_THE_LATEST_S + GRACE_S + SLACK_S)
-    others = len(came_after("u1", GRACE_S + SLACK_S)) + len(came_after("u2", GRACE_S + SLACK_S))
+    others = sum(len(came_after(unit, TOLD_AT_THE_LATEST_S + GRACE_S + SLACK_S)) for unit in ("u1", "u2"))
+    cut = sum(failed >= ended_at for load in loads for failed, _ in load.failed)
     print(
-        f"{len(late)} commands came to the draining unit later than {GRACE_S} s after the agent had the drain, "
-        f"the last {late[-1] if late else 0:.1f} s after it ({others} to the others meanwhile); "
-        f"{len(very_late)} later than {TOLD_AT_THE_LATEST_S} s + {GRACE_S} s",
+        f"{SITE}: {len(very_late)} unsafe requests came to the draining unit later than {TOLD_AT_THE_LATEST_S} s + "
+        f"{GRACE_S} s after the agent had the drain, the last {late[-1] if late else 0:.1f} s after it ({others} to "
+        f"the others meanwhile); {len(late)} later than {GRACE_S} s; {cut} were cut when its process ended and have "
+        f"failed",
         flush=True,
     )
-    return BROKEN if (late if UNIT_TURNS_AWAY else very_late) else HELD
+    return BROKEN if very_late else HELD
 
 
 run_case(Path(__file__).resolve().parent, case)
