--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,60 +1,139 @@
-"""300 silent connections crowd the door; clients that left meanwhile have their unsafe requests run all the same."""
+"""Discovery's agent answers every call 0.7 s late while a unit drains; new work goes on to that unit, and is cut."""
 
+import contextlib
+import os
 import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins_2 import BROKEN, HELD, TROUBLE, Unit, run_case, standins  # noqa: E402
 
-SILENT, CLIENTS, ROUNDS = 300, 10, 3
-TIME_LEFT_MS, LEAVES_S = 2500, 0.12  # a client closes its connection so long after it has sent its request
-GONE_S = 0.1 + 0.05 + 0.05  # the rule's 0.1 s, the 50 ms of every limit, and 50 ms for the stand-ins' threads
+MS = 1_000_000
+SLOW_S = 0.7  # by how much each answer of the agent comes later
+SLACK_S = 0.05 + 0.15  # "every time limit is 50 ms longer", and 150 ms for the threads of the stand-ins
+TOLD_AT_THE_LATEST_S = 6.0  # the bound that holds whatever happens to calls
+ENDS_S = 12.0  # the draining unit's process ends so long after the drain
+CLIENTS, WORK_S = 12, 0.3
+SITE = os.environ.get("SITE", "zagreb-jobs")
+SETTINGS = {  # how the sites are told of changes, and their grace for drains
+    "zagreb-jobs": {"discovery": "push", "obligations__drain_grace": 1000 * MS},
+    "rijeka-quotes": {
+        "discovery": "ask",
+        "obligations__drain_grace": 500 * MS,
+        "obligations__ask_within": 10_000 * MS,
+    },
+}[SITE]
+GRACE_S = SETTINGS["obligations__drain_grace"] / 1e9
+
+
+class SlowAgent(standins.Discovery):
+    """Discovery's agent, whose answers are sent `delay_s` after they are made."""
+
+    def __init__(self):
+        super().__init__()
+        self.delay_s, self.record = 0.0, None
+
+    def answer(self, handler, status, document):
+        """Send an answer, late if the agent is slow."""
+        delay_s = self.delay_s
+        time.sleep(delay_s)
+        if self.record:
+            self.record.write(
+                "discovery", "answers", call=handler.path, version=document["generation"], late_s=delay_s
+            )
+        standins.HttpStandIn.answer(handler, status, document)
+
+
+class EndingUnit(Unit):
+    """A unit whose process can end: its connections are reset and new ones are refused."""
+
+    def __init__(self, *arguments):
+        self.open = set()
+        super().__init__(*arguments)
+
+    def _serve(self, sock):
+        self.open.add(sock)
+        with contextlib.suppress(OSError, ValueError):  # the process may end while it serves
+            super()._serve(sock)
+        self.open.discard(sock)
+
+    def end(self):
+        """End the process."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in list(self.open):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.shutdown(socket.SHUT_RDWR)
+        self.record.write(self.name, "has ended")
+
+
+class Load:
+    """A client that asks all the time, on one connection, one unsafe request after the other."""
+
+    def __init__(self, record, relay):
+        self.record, self.relay, self.stopped = record, relay, False
+        self.failed = []
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        client = self.relay.client()
+        while not self.stopped:
+            name = self.relay.id()
+            self.record.write("client", "sends", id=name)
+            answer = client.ask("Q.DO", f"key-{name[-4:]}", name, "c=pay,t=acme,d=3000", "BODY")
+            now = self.record.write("client", "got", id=name, answer=str(answer))
+            if answer is not None and answer.startswith(b"-ERR"):
+                self.failed.append((now, name))
+            time.sleep(0.015)
+        client.close()
+
+    def stop(self):
+        self.stopped = True
+        self._thread.join(5)
 
 
 def case(record, tmp, started):
-    units = {f"u{n}": Unit(record, f"u{n}", lambda key: 0.3) for n in range(4)}
-    relay = standins.Relay(tmp, units)  # 256 descriptors, 124 of them for clients
+    units = {f"u{n}": EndingUnit(record, f"u{n}", lambda key: WORK_S) for n in range(3)}
+    standins.Discovery = SlowAgent
+    relay = standins.Relay(tmp, units, **SETTINGS)
     started.append(relay)
-    left_at = {}
-    for number in range(ROUNDS):
-        silent = []
-        if TROUBLE:
-            for _ in range(SILENT):
-                connection = socket.socket()
-                connection.setblocking(False)
-                connection.connect_ex(("127.0.0.1", relay.port))
-                silent.append(connection)
-            record.write("bad clients", "have connected and say nothing", connections=SILENT, round=number)
-        clients = {}
-        for _ in range(CLIENTS):
-            client, name = relay.client(), relay.id()
-            client.send("Q.DO", "key", name, f"c=pay,t=acme,d={TIME_LEFT_MS}", "BODY")
-            record.write("client", "sent whole", id=name)
-            clients[name] = client
-        time.sleep(LEAVES_S)
-        for name, client in clients.items():
-            client.close()
-            left_at[name] = record.write("client", "has closed its connection", id=name)
-        time.sleep(3.0)
-        for connection in silent:
-            connection.close()
-        time.sleep(0.5)
-    late = [
-        (ran - left_at[name], name, unit.name)
-        for unit in units.values()
-        for ran, _, name in unit.ran
-        if name in left_at and ran - left_at[name] > GONE_S
-    ]
-    for seconds, name, unit in late:
-        record.write("case", "begun for a client that has gone", id=name, unit=unit, after_s=round(seconds, 3))
+    relay.discovery.record = record
+    loads = [Load(record, relay) for _ in range(CLIENTS)]
+    time.sleep(2.0)
+    if TROUBLE:
+        relay.discovery.delay_s = SLOW_S
+        record.write("discovery", "is slow from now on", late_s=SLOW_S)
+    time.sleep(2.0)
+    relay.discovery.change(u0={"lifecycle": "DRAINING"})
+    drained_at = record.write("discovery", "the agent has: u0 drains")
+    time.sleep(ENDS_S)
+    ended_at = record.now()
+    units["u0"].end()
+    time.sleep(1.0)
+    for load in loads:
+        load.stop()
+
+    def came_after(unit, seconds):
+        return [ran[0] - drained_at for ran in units[unit].ran if ran[0] > drained_at + seconds]
+
+    late = came_after("u0", GRACE_S + SLACK_S)
+    very_late = came_after("u0", TOLD_AT_THE_LATEST_S + GRACE_S + SLACK_S)
+    others = sum(len(came_after(unit, TOLD_AT_THE_LATEST_S + GRACE_S + SLACK_S)) for unit in ("u1", "u2"))
+    cut = sum(failed >= ended_at for load in loads for failed, _ in load.failed)
     print(
-        f"{len(left_at)} clients left early; {len(late)} unsafe requests were begun for them later than "
-        f"{GONE_S:.2f} s after, the last {max(late)[0] if late else 0:.2f} s after",
+        f"{SITE}: {len(very_late)} unsafe requests came to the draining unit later than {TOLD_AT_THE_LATEST_S} s + "
+        f"{GRACE_S} s after the agent had the drain, the last {late[-1] if late else 0:.1f} s after it ({others} to "
+        f"the others meanwhile); {len(late)} later than {GRACE_S} s; {cut} were cut when its process ended and have "
+        f"failed",
         flush=True,
     )
-    return BROKEN if late else HELD
+    return BROKEN if very_late else HELD
 
 
 run_case(Path(__file__).resolve().parent, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,6 @@
-"""Clients with 80 requests open on a connection leave early; the relay begins work for them afterwards."""
+"""300 silent connections crowd the door; clients that left meanwhile have their unsafe requests run all the same."""
 
+import socket
 import sys
 import time
 from pathlib import Path
@@ -7,67 +8,49 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins_2 import BROKEN, HELD, TROUBLE, Unit, run_case, standins  # noqa: E402
 
-REQUESTS, CLIENTS, UNITS = 80, 8, 6
-LEAVES_S = 0.1  # after its last request a client waits for so long, then it closes its connection
+SILENT, CLIENTS, ROUNDS = 300, 10, 3
+TIME_LEFT_MS, LEAVES_S = 2500, 0.12  # a client closes its connection so long after it has sent its request
 GONE_S = 0.1 + 0.05 + 0.05  # the rule's 0.1 s, the 50 ms of every limit, and 50 ms for the stand-ins' threads
 
 
-def service_s(key):
-    """Return the seconds of work: the first request of a client is the lightest."""
-    return 0.1 if key.startswith("w") else 0.35 if key.endswith("-0") else 0.6
-
-
-def warm_up(relay, connections, requests):
-    """Have many requests out at once, as in a burst, so that connections to the units are at rest afterwards."""
-    clients = [relay.client() for _ in range(connections)]
-    for number, client in enumerate(clients):
-        for n in range(requests):
-            client.send("Q.ASK", f"w{number}-{n}", relay.id(), "c=read,t=acme,d=3000")
-    for client in clients:
-        for _ in range(requests):
-            client.read()
-        client.close()
-
-
 def case(record, tmp, started):
-    units = {f"u{n}": Unit(record, f"u{n}", service_s) for n in range(UNITS)}
-    relay = standins.Relay(tmp, units, sockets=1024)
+    units = {f"u{n}": Unit(record, f"u{n}", lambda key: 0.3) for n in range(4)}
+    relay = standins.Relay(tmp, units)  # 256 descriptors, 124 of them for clients
     started.append(relay)
-    left_at, owner = {}, {}
-    for number in range(CLIENTS):
-        warm_up(relay, 4, 30)
-        client = relay.client()
-        commands = []
-        for n in range(REQUESTS):
-            name = relay.id()
-            owner[name] = number
-            record.write("client", "sends", client=number, key=f"c{number}-{n}", id=name)
-            commands.append(
-                standins.command("Q.DO", f"c{number}-{n}", name, "c=pay,t=acme,d=4000", "BODY")
-            )
-        client.sock.sendall(b"".join(commands))
+    left_at = {}
+    for number in range(ROUNDS):
+        silent = []
         if TROUBLE:
-            time.sleep(LEAVES_S)
-            client.close()
-            left_at[number] = record.write("client", "has closed its connection", client=number)
-        else:
-            for _ in range(REQUESTS):
-                answer = client.read()
-                record.write("client", "got", client=number, answer=str(answer))
-                if answer is None:
-                    break
+            for _ in range(SILENT):
+                connection = socket.socket()
+                connection.setblocking(False)
+                connection.connect_ex(("127.0.0.1", relay.port))
+                silent.append(connection)
+            record.write("bad clients", "have connected and say nothing", connections=SILENT, round=number)
+        clients = {}
+        for _ in range(CLIENTS):
+            client, name = relay.client(), relay.id()
+            client.send("Q.DO", "key", name, f"c=pay,t=acme,d={TIME_LEFT_MS}", "BODY")
+            record.write("client", "sent whole", id=name)
+            clients[name] = client
+        time.sleep(LEAVES_S)
+        for name, client in clients.items():
             client.close()
-        time.sleep(1.0)
+            left_at[name] = record.write("client", "has closed its connection", id=name)
+        time.sleep(3.0)
+        for connection in silent:
+            connection.close()
+        time.sleep(0.5)
     late = [
-        (ran - left_at[owner[name]], key, unit.name)
+        (ran - left_at[name], name, unit.name)
         for unit in units.values()
-        for ran, key, name in unit.ran
-        if name in owner and owner[name] in left_at and ran - left_at[owner[name]] > GONE_S
+        for ran, _, name in unit.ran
+        if name in left_at and ran - left_at[name] > GONE_S
     ]
-    for seconds, key, unit in late:
-        record.write("case", "begun for a client that has gone", key=key, unit=unit, after_s=round(seconds, 3))
+    for seconds, name, unit in late:
+        record.write("case", "begun for a client that has gone", id=name, unit=unit, after_s=round(seconds, 3))
     print(
-        f"{CLIENTS} clients, {len(left_at)} left early; {len(late)} unsafe requests were begun for them later than "
+        f"{len(left_at)} clients left early; {len(late)} unsafe requests were begun for them later than "
         f"{GONE_S:.2f} s after, the last {max(late)[0] if late else 0:.2f} s after",
         flush=True,
     )
