--- a/review/6/case.py
+++ b/review/6/case.py
@@ -46,27 +46,33 @@
             time.sleep(0.1)
 
 
+class BadClients:
+    """The process of the bad clients."""
+
+    def __init__(self, port):
+        arguments = [str(port), str(CONNECTIONS), str(AT_ONCE), str(SECONDS), LONG]
+        self.process = subprocess.Popen([sys.executable, "-B", str(FOLDER / "bad_clients.py"), *arguments])
+
+    def stop(self):
+        """End the process."""
+        self.process.kill()
+        self.process.wait(10)
+
+
 def case(record, tmp, started):
     units = {f"u{n}": Unit(record, f"u{n}", lambda key: 0.005) for n in range(4)}
     relay = standins.Relay(tmp, units, sockets=1024)
     started.append(relay)
     clients = [UsualClient(record, relay) for _ in range(CLIENTS)]
     time.sleep(1.0)
-    bad = None
-    try:
-        if TROUBLE:
-            arguments = [str(relay.port), str(CONNECTIONS), str(AT_ONCE), str(SECONDS), LONG]
-            bad = subprocess.Popen([sys.executable, "-B", str(FOLDER / "bad_clients.py"), *arguments])
-            record.write("bad clients", "have begun", connections=CONNECTIONS, at_once=AT_ONCE, long=LONG)
-        time.sleep(SECONDS + 8)
-        for client in clients:
-            client.stopped = True
-        for client in clients:
-            client.thread.join(12)
-    finally:
-        if bad:
-            bad.kill()
-            bad.wait(10)
+    if TROUBLE:
+        started.append(BadClients(relay.port))
+        record.write("bad clients", "have begun", connections=CONNECTIONS, at_once=AT_ONCE, long=LONG)
+    time.sleep(SECONDS + 8)
+    for client in clients:
+        client.stopped = True
+    for client in clients:
+        client.thread.join(12)
     waits = [wait for client in clients for wait in client.waits]
     lost = [wait for wait in waits if wait[0] > TIME_LEFT_MS / 1000 + LOST_S]
     lag = max((float(text) for text in re.findall(r"lag ms ([\d.]+)", relay.text())), default=0.0)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import signal
 import sys
 import tempfile
 import threading
@@ -70,15 +71,17 @@
 
 
 def run_case(folder, case, limit_s=110):
-    """Run `case(record, tmp, started)` and exit with its result; relays added to `started` are killed."""
+    """Run `case(record, tmp, started)` and exit with its result; what was added to `started` is ended."""
     started = []
 
-    def give_up():
-        print("the case took too long", flush=True)
-        for relay in started:
-            relay.process.kill()
+    def give_up(*_):
+        print("the case was ended from outside, or took too long", flush=True)
+        for program in started:
+            program.process.kill()
         os._exit(COULD_NOT_RUN)
 
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
     watchdog = threading.Timer(limit_s, give_up)
     watchdog.daemon = True
     watchdog.start()
@@ -90,7 +93,7 @@
         except Exception as problem:  # the case could not run
             print(f"could not run: {problem!r}", flush=True)
         finally:
-            for relay in started:
-                relay.stop()
+            for program in reversed(started):
+                program.stop()
     record.write("case", "end", trouble=TROUBLE, status=status)
     os._exit(status)
