See a client's end behind its unread input: nothing is started for one that has left

Work ran for clients that had given up and would ask again.

Cause: the end of a connection lies behind the request. `Connection._read` submits the request, `Stream.read` clears the events after a short read, and the end is read a turn later, when the module has sent the request. Evidence: a stepped relay with a full door and with a stall of 300 ms shows both without any load; ruled out: the module (it never learns of the client's end before its `Send`), and the units' connections.

Change: client connections also wait for POLLRDHUP, which the system reports whatever is unread, and handle it before they read. It works since the end is then known before any command behind which it lies is submitted. A reset connection is not read any more.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -6,7 +6,7 @@
 from loftroute import invariants
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
-from loftroute.runtime.scheduler import READ, WRITE, Mailbox, Task
+from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Mailbox, Task
 from loftroute.runtime.stream import Stream
 
 if TYPE_CHECKING:
@@ -75,15 +75,19 @@
 
     def __init__(self, clients: "Clients", stream: Stream, waited: int) -> None:
         self.clients, self._stream = clients, stream
-        self._waited = waited  # how long the connection may have waited to be accepted (nanoseconds)
+        # How long the connection may have waited to be accepted (nanoseconds).
+        self._waited = waited
+        if waited:
+            stream.events = 0  # poll first: it tells whether the client has left meanwhile
         self._transport = clients.config.transport
         self.slots: deque[Slot] = deque()
         self.mailbox: Mailbox[Slot] = Mailbox(clients.scheduler, self._transport.max_pipelined + 1)
         self._framing_lost = False  # after a protocol error nothing more is read
         self._skipper: resp.CommandSkipper | None = None  # set while a command is discarded
         self._has_large_chunk = False  # for the command that is partly read
-        # Set once the client has half-closed: requests may be started until then; 0 once that time is over.
+        # Set once the client has half-closed: requests may be started until then.
         self._half_close_deadline: int | None = None
+        self._half_close_over = False  # that time is over
         self._unsent_since: int | None = None  # since when an answer is partly written
         self._bad_in_row = 0  # bad requests since the last good one
         self._paused_until: int | None = None  # nothing is read before then
@@ -152,6 +156,10 @@
         stream = self._stream
         try:
             while True:
+                if stream.events & ERROR_EVENTS:
+                    return  # reset by the client, which can't get any answer
+                if stream.peer_ended:
+                    self._track_half_close()
                 if self._paused_until and self._is_paused():
                     pass
                 elif stream.events or stream.buffer.end > stream.buffer.start:
@@ -167,33 +175,41 @@
                     if not self._read_once_more():
                         return self._close_gracefully()
                     continue
-                stream.wait(self._half_close_deadline or self._paused_until, self._poll_mask())
+                stream.wait(self._next_wakeup(), self._poll_mask())
         finally:
             self._release()
 
+    def _next_wakeup(self) -> int | None:
+        """Return when the task has something to do although no event is reported; None for never."""
+        if self._half_close_deadline is None or self._half_close_over:
+            return self._paused_until
+        return min(self._half_close_deadline, self._paused_until or self._half_close_deadline)
+
     def _awaits_answers(self) -> bool:
-        """Handle a half-close; return whether answers are still to be sent.
+        """Return whether a client that has half-closed, and sends nothing more, is still owed answers."""
+        if self._framing_lost or self.clients.module.recall is not None:
+            return False
+        self._track_half_close()
+        return bool(self.slots or self._stream.unsent_bytes) and not self._stream.broken
+
+    def _track_half_close(self) -> None:
+        """Handle a half-close, which poll reports even if commands before it have not been read.
 
         The client has closed, or waits for its answers: the two look the same until something is written.
         Attempts in progress go on and no others are started. Commands read in the same poll as the end, or in
-        the one before, may still be started for a short time.
+        the one before, and those that are still unread may be started for a short time.
         """
-        clients, clock = self.clients, self.clients.scheduler.clock
-        if (
-            not (self.slots or self._stream.unsent_bytes)
-            or self._framing_lost
-            or clients.module.recall is not None
-        ):
-            return False
+        clients, now = self.clients, self.clients.scheduler.clock.now()
+        if self._half_close_over or self._framing_lost or clients.module.recall is not None:
+            return
         if self._half_close_deadline is None:
             # The half-close may have arrived at any time since the last poll.
             unnoticed = max(clients.scheduler.lag, self._waited)
-            self._half_close_deadline = clock.now() + self._transport.half_close_grace_ns - unnoticed
+            self._half_close_deadline = now + self._transport.half_close_grace_ns - unnoticed
             self._report_half_close(clients.scheduler.turns - 1)
-        if self._half_close_deadline and clock.now() >= self._half_close_deadline:
-            self._half_close_deadline = 0
+        if now >= self._half_close_deadline:
+            self._half_close_over = True
             self._report_half_close(clients.scheduler.turns + 1)
-        return bool(self.slots or self._stream.unsent_bytes) and not self._stream.broken
 
     def _report_half_close(self, before_turn: int) -> None:
         """Report the half-close for the open requests that were read before a turn of the scheduler."""
@@ -350,7 +366,8 @@
         reading = (
             0 if self._is_full() or self._framing_lost or self._paused_until or self._stream.ended else READ
         )
-        return reading | (WRITE if self._stream.unsent_bytes else 0)
+        ending = 0 if self._stream.peer_ended else PEER_END
+        return reading | ending | (WRITE if self._stream.unsent_bytes else 0)
 
     def _is_paused(self) -> bool:
         """Return whether reading is still throttled; resume it once the pause is over."""
@@ -464,7 +481,9 @@
     def _submit(self, slot: Slot, job: ClientRequest) -> None:
         """Pass a request to the module, or refuse it if there is no memory for its answer."""
         self._bad_in_row = 0
-        if self.clients.message_budget.expect_answer(len(self.slots)):
+        if self._half_close_over:
+            self.clients.module.fail_unstarted(slot)
+        elif self.clients.message_budget.expect_answer(len(self.slots)):
             slot.job = job
             self.clients.module.handle_request(job, slot, max(self.clients.scheduler.lag, self._waited))
         else:
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -221,6 +221,11 @@
             return ticket.failed()
         ticket.refused(self._retry_after_ms)
 
+    def fail_unstarted(self, ticket: Ticket) -> None:
+        """Answer a command that is read too late after its client's half-close to be started."""
+        self.counters["clients gone"] += 1
+        ticket.failed()
+
     def client_gone(self, job: ClientRequest) -> None:
         """Drop a request whose client has closed its connection.
 
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -20,6 +20,7 @@
 MS = 1_000_000  # nanoseconds
 
 READ, WRITE = select.POLLIN, select.POLLOUT
+PEER_END = select.POLLRDHUP  # the peer has shut down its sending side; reported behind unread data too
 ERROR_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 Item = TypeVar("Item")
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -15,7 +15,7 @@
 from loftroute.protocol import IncompleteMessageError, ProtocolError
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.memory import Chunk, MemoryAccount
-from loftroute.runtime.scheduler import ERROR_EVENTS, READ, WRITE, Scheduler, Task
+from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Scheduler, Task
 
 DISCARDED = memoryview(bytearray(1 << 16))  # receives data that is thrown away
 
@@ -119,7 +119,9 @@
     Attributes:
         buffer: what was read and not parsed yet.
         unsent_bytes: bytes that were written and that the system has not accepted yet.
-        ended: whether the peer has shut down its side or the connection is broken.
+        peer_ended: whether the peer is known to have shut down its side; unread data may be left. Only a task
+            that waits for `PEER_END` learns of it before all data is read.
+        ended: whether the peer has shut down its side and all data was read, or the connection is broken.
         broken: whether the connection is broken in both directions.
         closed: whether `close` was called.
         events: poll events that were not handled yet.
@@ -137,6 +139,7 @@
         "ended",
         "events",
         "fd",
+        "peer_ended",
         "task",
         "unsent_bytes",
     )
@@ -147,6 +150,7 @@
         self.buffer = Buffer(chunk, limit, scheduler.message_memory)
         self._send_queue: deque[memoryview] = deque()
         self.unsent_bytes = 0
+        self.peer_ended = False
         self.ended = False
         self.broken = False
         self.closed = False
@@ -218,7 +222,8 @@
             return 0
         except OSError:
             count, self.broken = 0, True
-        self.ended = self.ended or not count
+        if not count:
+            self.peer_ended = self.ended = True
         return count
 
     def is_stale(self) -> bool:
@@ -306,6 +311,9 @@
             self._scheduler.watch(self.fd, events_wanted, self)
             self._mask = events_wanted
         self._scheduler.park(deadline)
+        if self.events & PEER_END:
+            self.peer_ended = True
+            self.events &= ~PEER_END
         if self.events & ERROR_EVENTS and not events_wanted & READ and not events_wanted & WRITE:
             self.ended = self.broken = True  # no read or write would notice the error
 
