Keep forward-only keys on the build that answered, also if the client had left

Cause: `Balancer._record_outcome` recorded the key `if request and ...`, and the request is dropped with `ClientGone`; the attempt that is out did not hold the key. Ruled out: the relay (it passes the attempt's end on whoever waits), and `_allowed_servers` (with the key recorded it allows build 42 only).

Change: `Attempt.key`, set when it is sent. It works since the attempt, not the request, lives until the outcome. WIRE asks for it: "still expect an ANSWER for each attempt in flight".

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -887,9 +887,8 @@
         """
         self.held_requests.pop(request.id, None)
         entry = server.entry
-        attempt = Attempt(
-            entry, self.now, server.capacity_share >= 1.0 and not self._follows_stall(), request.work
-        )
+        latency_counts = server.capacity_share >= 1.0 and not self._follows_stall()
+        attempt = Attempt(entry, self.now, latency_counts, request.work, request.key)
         send_within = (
             0 if (known_until := self._key_known_until(request)) == inf else int(known_until) - self.now
         )
@@ -1013,9 +1012,9 @@
             server.finished_work.add(self.now, attempt.work)
             self.recent_answers.add(self.now, 1.0)
             server.ejected_until = server.consecutive_ejections = 0
-            if request and request.key is not None and self.release.forward_only:
-                self.min_build_by_key[request.key] = max(
-                    attempt.entry.build, self.min_build_by_key.get(request.key, 0)
+            if attempt.key is not None and self.release.forward_only:
+                self.min_build_by_key[attempt.key] = max(
+                    attempt.entry.build, self.min_build_by_key.get(attempt.key, 0)
                 )
         if self.own_stall or (
             hard_failure and request and any(a.outcome in HARD_FAILURES for a in request.attempts[:-1])
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -74,12 +74,16 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """An attempt of a request at a server; `outcome` is None while it is outstanding."""
+    """An attempt of a request at a server; `outcome` is None while it is outstanding.
+
+    `key` is that of its request, which may be forgotten before the attempt ends.
+    """
 
     entry: ServerEntry
     sent_at: int
     latency_counts: bool  # the server was warm and this instance had not just been stalled
     work: float  # estimated
+    key: str | None = None
     outcome: Outcome | None = None
     silence_judged: bool = False  # the server's silence was already counted against its build
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,6 +308,29 @@
     assert sum(int(a[2]) > 100 for a in sends) <= 2
 
 
+def test_a_key_stays_on_the_build_that_answered_after_the_client_had_left():
+    """Guards against an earlier build for a key whose client left before the new one answered (review/10)."""
+    relay = Relay(setup(family_info__forward_only=True))
+    relay.fleet(1, 1)
+    relay.news(cap=1.0, stage=2)
+    answered_by_new = []
+    for n in range(40):
+        ref, actions = relay.ask(0, key=f"key-{n}", left=SECOND)
+        at_new = [send[2] for send in named(actions, "FORWARD")] == ["101"]
+        if at_new:
+            relay.event("CLIENT_GONE", ref)
+        relay.answer(ref, over=1)
+        answered_by_new += [f"key-{n}"] * at_new
+        relay.wait(100 * MS)
+    assert len(answered_by_new) > 5
+    for key in answered_by_new * 3:
+        ref, actions = relay.ask(0, key=key)
+        assert {send[2] for send in named(actions, "FORWARD")} <= {"101"}
+        if named(actions, "FORWARD"):
+            relay.answer(ref)
+        relay.wait(100 * MS)
+
+
 def test_a_key_stays_on_the_newest_build_that_served_it_until_that_is_rolled_back():
     relay = Relay(setup(family_info__forward_only=True))
     relay.fleet(1, 1)
