Share each turn among the client connections: small commands at full speed delay nobody

Cause: `Connection._read` reads 16 times in a turn and processes all it got (64 KiB hold 4,681 commands), and nothing bounds the sum of a turn. Ruled out: unknown commands, classes and tenants, also under ever new names (throttled: median 6 ms), the module and the units (PING reaches neither).

Change: `InputAllowance`: 16 steps (reads, commands) a connection and turn, 256 shared by all beyond two each; the rest is processed in the next turn (`Scheduler.wake_next_turn`). It works since the length of a turn is then bounded by the number of connections, not by what their socket buffers hold.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -298,6 +298,12 @@
     max_linger_bytes: int = 1 << 20
     # Consecutive bad requests of a client after which reading from it is throttled.
     bad_requests_before_pause: int = 8
+    # Reads and commands of one client connection per turn of the scheduler.
+    max_steps_per_turn: int = 16
+    # Those of them that do not count towards the sum of all connections.
+    free_steps_per_turn: int = 2
+    # Reads and commands of all client connections per turn, beyond those that do not count.
+    shared_steps_per_turn: int = 256
     # Retry-after sent with requests that the relay itself refuses, for example when too many are open.
     retry_after_ns: int = 250_000_000
     # Unanswered commands per client connection before reading stops.
--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -6,6 +6,7 @@
 from loftroute import invariants
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
+from loftroute.relay.input_allowance import ConnectionShare
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Mailbox, Task
 from loftroute.runtime.stream import Stream
 
@@ -85,6 +86,8 @@
         self._framing_lost = False  # after a protocol error nothing more is read
         self._skipper: resp.CommandSkipper | None = None  # set while a command is discarded
         self._has_large_chunk = False  # for the command that is partly read
+        self._share = ConnectionShare()
+        self._has_unparsed_input = False  # there is input whose turn has not come
         # Set once the client has half-closed: requests may be started until then.
         self._half_close_deadline: int | None = None
         self._half_close_over = False  # that time is over
@@ -175,6 +178,8 @@
                     if not self._read_once_more():
                         return self._close_gracefully()
                     continue
+                if self._has_unparsed_input and not self._must_not_read():
+                    self.clients.scheduler.wake_next_turn(self.task)
                 stream.wait(self._next_wakeup(), self._poll_mask())
         finally:
             self._release()
@@ -379,19 +384,28 @@
 
     def _read(self) -> None:
         """Read and process input, up to a limit per turn."""
+        self._has_unparsed_input = False
         if self._framing_lost:
             return
         if self.commands and not len(self._stream.buffer) and self._skipper is None:
             self.last_activity = self.clients.scheduler.polled_at
         try:
             self._parse_commands()
-            for _ in range(16):  # then other connections get their turn; poll reports the rest again
-                if self._paused_until or not self._stream.events or self._is_full() or not self._receive():
+            while self._stream.events and not self._must_not_read() and self._take_step():
+                if not self._receive():
                     return
                 self._parse_commands()
         except ProtocolError as problem:
             self._reject_input(problem)
 
+    def _must_not_read(self) -> bool:
+        """Return whether input has to wait until answers have been sent, a pause is over, or for good."""
+        return self._framing_lost or self._paused_until is not None or self._is_full()
+
+    def _take_step(self) -> bool:
+        """Return whether one more read or command may be processed in this turn of the scheduler."""
+        return self.clients.input_allowance.take_step(self._share)
+
     def _reject_input(self, problem: ProtocolError) -> None:
         """Handle input that is not the protocol: answer with an error and read nothing more."""
         self.clients.malformed += 1
@@ -400,7 +414,10 @@
     def _parse_commands(self) -> None:
         """Process the complete commands in the buffer, the common form of a request with a fast parser."""
         buffer, names = self._stream.buffer, self.clients.config.names
-        while buffer.end - buffer.start >= buffer.need and not self._is_full() and not self._paused_until:
+        while buffer.end - buffer.start >= buffer.need:
+            if self._must_not_read() or not self._take_step():
+                self._has_unparsed_input = not self._framing_lost
+                return
             if self._skipper is not None:
                 if not self._skip_input(self._skipper):
                     return
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -5,6 +5,7 @@
 from loftroute.config import Config
 from loftroute.protocol import resp
 from loftroute.relay.client_connection import Connection
+from loftroute.relay.input_allowance import InputAllowance
 from loftroute.relay.message_budget import MessageBudget
 from loftroute.relay.module import Module
 from loftroute.runtime.scheduler import Scheduler, spawn_supervised
@@ -18,6 +19,7 @@
         config, scheduler, module: shared by the connections.
         connections: open client connections.
         message_budget: bounds the memory of all messages.
+        input_allowance: bounds the input that is processed in a turn of the scheduler.
         last_accept: time of the last accepted connection (nanoseconds).
         slow_readers_closed: connections closed because their clients did not read their answers.
         malformed: connections with a protocol error.
@@ -35,6 +37,7 @@
         self.message_budget = MessageBudget(
             scheduler.message_memory, config.budget.message_bytes, config.transport
         )
+        self.input_allowance = InputAllowance(scheduler, config.transport)
         self._listener = Listener(scheduler, config.listen, config.transport.backlog)
         self.last_accept = self._next_eviction_at = self._full_since = 0
         self.slow_readers_closed = 0
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -148,6 +148,7 @@
         self.hub = greenlet.getcurrent()
         self.tasks: set[Task] = set()
         self._ready: deque[Task] = deque()
+        self._ready_next_turn: dict[Task, None] = {}  # in order
         self._timers: list[tuple[int, int, Timer | Task]] = []
         self._sequence = 0
         self._watched: dict[int, PollTarget] = {}
@@ -171,6 +172,10 @@
             task.queued = True
             self._ready.append(task)
 
+    def wake_next_turn(self, task: Task) -> None:
+        """Queue a task to run in the next iteration, after those whose sockets have events."""
+        self._ready_next_turn[task] = None
+
     def cancel(self, task: Task) -> None:
         """End a task by raising `TaskCancelledError` where it is parked."""
         task.cancelled = True
@@ -283,7 +288,7 @@
         if begun - ended < self._min_interval:
             self._pause((self._min_interval - begun + ended) / 1e9)
             begun = self.clock.now()
-        latest = begun if self._ready else begun + self._max_wait
+        latest = begun if self._ready or self._ready_next_turn else begun + self._max_wait
         if self._timers and self._timers[0][0] < latest:
             latest = max(begun, self._timers[0][0])
         events = self._poller.poll(-(-(latest - begun) // MS))
@@ -299,6 +304,9 @@
                 watched.events |= event
                 if watched.task is not None:
                     self.wake(watched.task)
+        for task in self._ready_next_turn:
+            self.wake(task)
+        self._ready_next_turn.clear()
         self._run_due_timers(now)
         self._run_ready()
         return now
