Join small answers that wait to be sent: their memory is that of their bytes

Cause: `Stream._queue` kept a memoryview (184 bytes and its piece) for each answer of 7 bytes and counted 7, so that the bounds of unread bytes, 256 KiB a connection and a quarter of the memory in sum, held some fifty times as much. Ruled out by the state line: chunks of messages, held answers, open requests.

Change: pieces under 512 bytes are copied into blocks of at most 4 KiB and a piece. It works since what the bounds count is then what is kept; a small slice also no longer keeps its chunk.

--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -17,6 +17,9 @@
 from loftroute.runtime.memory import Chunk, MemoryAccount
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Scheduler, Task
 
+SMALL_PIECE_BYTES = 512  # shorter pieces are copied when queued: a reference to each would take more memory
+JOINED_BYTES = 4096  # small pieces are joined up to this size
+
 DISCARDED = memoryview(bytearray(1 << 16))  # receives data that is thrown away
 
 Message = TypeVar("Message")
@@ -148,7 +151,7 @@
         self._scheduler, self._sock = scheduler, sock
         self.fd = sock.fileno()
         self.buffer = Buffer(chunk, limit, scheduler.message_memory)
-        self._send_queue: deque[memoryview] = deque()
+        self._send_queue: deque[memoryview | bytearray] = deque()
         self.unsent_bytes = 0
         self.peer_ended = False
         self.ended = False
@@ -250,7 +253,7 @@
     def write(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Send as much as the system accepts now and queue the rest.
 
-        Queued pieces are not copied, so their memory must not change until they are sent.
+        Queued pieces are not copied unless they are small, so their memory must not change until then.
         """
         if self._send_queue or self.closed:
             self._queue(pieces)
@@ -269,10 +272,16 @@
 
     def _queue(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Append pieces to the queue of unsent data."""
+        queue = self._send_queue
         for piece in pieces:
-            if len(piece):
-                self._send_queue.append(memoryview(piece))
-                self.unsent_bytes += len(piece)
+            size = len(piece)
+            if size >= SMALL_PIECE_BYTES:
+                queue.append(memoryview(piece))
+            elif queue and isinstance(queue[-1], bytearray) and len(queue[-1]) < JOINED_BYTES:
+                queue[-1].extend(piece)
+            elif size:
+                queue.append(bytearray(piece))
+            self.unsent_bytes += size
 
     def flush(self) -> bool:
         """Send queued data without waiting; return whether none is left."""
@@ -295,7 +304,7 @@
         while count:
             first = self._send_queue[0]
             if count < len(first):
-                self._send_queue[0] = first[count:]
+                self._send_queue[0] = memoryview(first)[count:]
                 return
             count -= len(first)
             self._send_queue.popleft()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -15,7 +16,7 @@
 from loftroute.protocol import IncompleteMessageError, ProtocolError, resp
 from loftroute.relay.message_budget import MessageBudget
 from loftroute.runtime.memory import MemoryAccount
-from loftroute.runtime.stream import Buffer
+from loftroute.runtime.stream import Buffer, Stream
 from tests.stepped import MS, ask, got, reset, served, served_at, value
 from tests.test_protocol import joined, quick
 from tests.test_runtime import fill
@@ -440,3 +441,53 @@
     raw = bytearray(command(b"x" * 50, b"y" * 50))
     with pytest.raises(ProtocolError, match="message too long"):
         resp.CommandSkipper(100).skip(raw, 0, len(raw))
+
+
+class UnreadingSocket:
+    """A socket whose peer reads only what the test lets through."""
+
+    def __init__(self):
+        self.capacity, self.sent = 0, b""
+
+    def fileno(self):
+        return 1000
+
+    def sendmsg(self, pieces):
+        data = b"".join(bytes(piece) for piece in pieces)[: self.capacity]
+        if not data:
+            raise BlockingIOError
+        self.capacity -= len(data)
+        self.sent += data
+        return len(data)
+
+
+def unreading_stream(world):
+    sock = UnreadingSocket()
+    return sock, Stream(world().scheduler, sock, 64, 1000)
+
+
+def test_small_answers_that_nobody_reads_take_hardly_more_memory_than_their_bytes(world):
+    """Guards against 50 times the memory of the limit of unread bytes, in references to small pieces."""
+    _, stream = unreading_stream(world)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    while stream.unsent_bytes < 200_000:
+        stream.write([b"+PONG\r\n"])
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert used - before < 2 * stream.unsent_bytes
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_queued_pieces_are_sent_in_order_whatever_their_sizes(world, seed):
+    """Guards against pieces that are joined in another order, twice or not at all."""
+    rng, (sock, stream), written = random.Random(seed), unreading_stream(world), b""
+    for n in range(2000):
+        pieces = [bytes([n % 251]) * rng.choice([0, 1, 7, 511, 512, 5000]) for _ in range(rng.randint(1, 4))]
+        stream.write(pieces)
+        written += b"".join(pieces)
+        sock.capacity = rng.choice([0, 0, 3, 600, 9000])
+        stream.flush()
+        assert stream.unsent_bytes == len(written) - len(sock.sent)
+    sock.capacity = len(written)
+    assert stream.flush() and sock.sent == written
