Bound the connections by the memory too: clients that only connect stay within the limit

Cause: `config._budget` divides descriptors whatever the memory: 545 client connections of 10.7 kB (measured: 500 silent ones) are 5.8 MB of the 5 MB that the program leaves.

Change: connections with a usual chunk take at most a third of the memory beside the program. It works since the count, not only what each holds, is then within the sum.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -19,6 +19,7 @@
 
 # File descriptors for the relay itself: listener, log, calls to discovery and platform, sockets being closed.
 OWN_DESCRIPTORS = 32
+MIN_CONNECTIONS = 20  # of clients and units together
 
 CONTROLS = {
     "first_voice": i.Control.ANY,
@@ -350,6 +351,11 @@
     # Time after a client's half-close in which its pending requests may still be started.
     half_close_grace_ns: int = 150_000_000
 
+    @property
+    def bytes_per_connection(self) -> int:
+        """Memory of a connection with its task and a usual chunk."""
+        return self.connection_bytes + self.initial_buffer_bytes
+
     def backoff(self, failures: int) -> int:
         """Return the delay in nanoseconds before a retry after that many consecutive failures."""
         return min(failures - 1, self.backoff_steps) * self.retry_delay_ns // self.backoff_steps
@@ -510,7 +516,8 @@
     """Divide file descriptors and memory between clients, units and open requests.
 
     Of the descriptors that the relay does not need itself, 9/20 are for units and the others for clients. An
-    open request uses one of each; the rest are idle connections on both sides.
+    open request uses one of each; the rest are idle connections on both sides. Connections with a chunk each
+    take at most a third of the memory beside the program: clients that only connect must not use it up.
 
     The number of open requests is bounded by the cores and by half of the remaining memory, with requests
     and answers of the maximum size. Half of what the connections leave of the memory is for messages, but
@@ -521,10 +528,12 @@
     available = (
         configured_sockets if soft_limit == resource.RLIM_INFINITY else min(configured_sockets, soft_limit)
     ) - OWN_DESCRIPTORS
-    if available < 20:
+    if available < MIN_CONNECTIONS:
         raise ConfigError(f"limits.sockets: at least 60 wanted, found {available + OWN_DESCRIPTORS}")
-    for_units, defaults = available * 9 // 20, Transport()
-    memory_bytes = max(limits.integer("memory_mb", 192) << 20, 0) - defaults.program_bytes
+    defaults = Transport()
+    memory_bytes = max((limits.integer("memory_mb", 192) << 20) - defaults.program_bytes, 0)
+    available = min(available, max(memory_bytes // 3 // defaults.bytes_per_connection, MIN_CONNECTIONS))
+    for_units = available * 9 // 20
     max_open = min(
         available - for_units,
         max(64, memory_bytes // 2 // (2 * resp.VALUE_LIMIT)),
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -156,6 +156,39 @@
     assert peak_resident_kb(process) <= LIMITS["memory_mb"] << 10
 
 
+def slow_parts(data):
+    """Yield the data in three small pieces, as a client on a slow line sends it."""
+    yield from (data[:1], data[1:40], data[40:80])
+
+
+CROWDS = {
+    "silent": (b"", lambda data: [b""]),
+    "slow": (ask(), slow_parts),
+    "half a large request": (large_request()[:HALF], lambda data: [data]),
+    "many short fields": (command("Q.ASK", "k", "0" * 16, b"c=read" + b",=" * 20_000), lambda data: [data]),
+}
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48])
+@pytest.mark.parametrize("kind", CROWDS)
+def test_a_relay_with_little_memory_survives_hundreds_of_clients_at_once(relay, kind, memory_mb):
+    """Guards against connections that take more than the memory limit, by their number alone."""
+    process = relay({"u0": Unit()}, limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024})
+    data, parts = CROWDS[kind]
+    clients = [socket.create_connection(("127.0.0.1", process.port), timeout=5) for _ in range(500)]
+    for part in parts(data):
+        for client in clients:
+            client.setblocking(False)
+            with contextlib.suppress(OSError):  # the relay may have closed it, or reads slowly
+                client.send(part)
+        time.sleep(0.3)
+    time.sleep(1.0)
+    for client in clients:
+        client.close()
+    assert process.process.poll() is None and peak_resident_kb(process) <= memory_mb << 10
+    eventually(lambda: process.read(process.client()) == b"value of k1")
+
+
 def test_usual_requests_are_served_in_time_beside_hundreds_of_half_requests(relay):
     """Guards against a relay that spends seconds on the pieces of large requests, while all others wait."""
     process = relay({"u0": Unit(), "u1": Unit()}, sockets=1024)
