Sizes of joined answers follow from the usual chunk; the limit of fields stands among the protocol's

`runtime/stream.py` holds no constants any more: what counts as small is an eighth of a usual chunk, joined up to one. `FIELDS_LIMIT` is a limit of the protocol's messages as `ARRAY_LIMIT` is, and is listed beside it; the check stays as strict for any other name.

--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -17,9 +17,6 @@
 from loftroute.runtime.memory import Chunk, MemoryAccount
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Scheduler, Task
 
-SMALL_PIECE_BYTES = 512  # shorter pieces are copied when queued: a reference to each would take more memory
-JOINED_BYTES = 4096  # small pieces are joined up to this size
-
 DISCARDED = memoryview(bytearray(1 << 16))  # receives data that is thrown away
 
 Message = TypeVar("Message")
@@ -45,16 +42,18 @@
         start: offset of the first unparsed byte.
         end: offset after the last byte that was read.
         need: bytes that the next message has at the least.
+        usual_chunk_bytes: size of a chunk, unless a message needs a larger one.
     """
 
-    __slots__ = ("_account", "_chunk", "_limit", "data", "end", "need", "start")
+    __slots__ = ("_account", "_limit", "data", "end", "need", "start", "usual_chunk_bytes")
 
     def __init__(self, chunk: int, limit: int, account: MemoryAccount | None = None) -> None:
         """Create a buffer with chunks of `chunk` bytes for messages of at most `limit` bytes.
 
         The chunks are counted in `account`.
         """
-        self._chunk, self._limit, self._account = chunk, limit, account or MemoryAccount()
+        self.usual_chunk_bytes, self._limit = chunk, limit
+        self._account = account or MemoryAccount()
         self.data = Chunk(chunk, self._account)
         self.start = self.end = 0
         self.need = 1
@@ -62,12 +61,16 @@
     def next_chunk_size(self) -> int:
         """Return the size of the next chunk, for what is not parsed and what it needs."""
         # The need may be the least that the rest can have: a few bytes more save a second move.
-        return max(self._chunk, self.need + self._chunk // 16, self.end - self.start + self._chunk // 2)
+        return max(
+            self.usual_chunk_bytes,
+            self.need + self.usual_chunk_bytes // 16,
+            self.end - self.start + self.usual_chunk_bytes // 2,
+        )
 
     def is_full(self) -> bool:
         """Return whether the next read needs a new chunk."""
         size = len(self.data)
-        return size - self.end < self._chunk // 4 or self.start + self.need > size
+        return size - self.end < self.usual_chunk_bytes // 4 or self.start + self.need > size
 
     def free_space(self) -> memoryview:
         """Return the memory to read into, which is never empty."""
@@ -97,20 +100,20 @@
             self.need = more.total_bytes
             return None
         self.need = 1
-        if len(self.data) > self._chunk:
+        if len(self.data) > self.usual_chunk_bytes:
             self._leave_large_chunk()
         return message
 
     def consumed_to(self, start: int) -> None:
         """Set the offset at which the next message begins, after a message was parsed without `parse`."""
         self.start, self.need = start, 1
-        if len(self.data) > self._chunk:
+        if len(self.data) > self.usual_chunk_bytes:
             self._leave_large_chunk()
 
     def _leave_large_chunk(self) -> None:
         """Move to a usual chunk if the rest fits, so that a connection at rest does not keep a larger one."""
-        if self.end - self.start <= self._chunk // 2:
-            self._move_to_chunk(self._chunk)
+        if self.end - self.start <= self.usual_chunk_bytes // 2:
+            self._move_to_chunk(self.usual_chunk_bytes)
 
     def __len__(self) -> int:
         return self.end - self.start
@@ -271,13 +274,17 @@
             self._remove_sent(sent)
 
     def _queue(self, pieces: Iterable[bytes | memoryview]) -> None:
-        """Append pieces to the queue of unsent data."""
-        queue = self._send_queue
+        """Append pieces to the queue of unsent data.
+
+        Pieces under an eighth of a usual chunk are copied and joined up to its size, since a reference to
+        each would take more memory than the piece.
+        """
+        queue, chunk = self._send_queue, self.buffer.usual_chunk_bytes
         for piece in pieces:
             size = len(piece)
-            if size >= SMALL_PIECE_BYTES:
+            if size >= chunk // 8:
                 queue.append(memoryview(piece))
-            elif queue and isinstance(queue[-1], bytearray) and len(queue[-1]) < JOINED_BYTES:
+            elif queue and isinstance(queue[-1], bytearray) and len(queue[-1]) < chunk:
                 queue[-1].extend(piece)
             elif size:
                 queue.append(bytearray(piece))
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -46,6 +46,7 @@
         "VALUE_LIMIT",
         "LINE_LIMIT",
         "ARRAY_LIMIT",
+        "FIELDS_LIMIT",
         "DEPTH_LIMIT",
         "DIGITS_LIMIT",
         "HEAD_LIMIT",
