Keep the id of a request whose client left from running again

Cause: `Module.admit` looks at open requests only; `client_gone`, `_attempt_ended` and the others drop a request with its id, whatever is out. Ruled out: a client that closes while its attempt is out (half-close: the request stays open until the answer), the units' connections. In the module's decisions both attempts had one key, so the first's end was taken for the second's.

Change: an id stays in use while an attempt is out, and to its deadline where one may have had an effect that its client was not told of (it left, or got an error). It works since all requests end in `Module._remove`.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -331,6 +331,10 @@
     evictable_after_ns: int = 50_000_000
     # A large command that is still incomplete after this time may be discarded to make room for another.
     skippable_after_ns: int = 50_000_000
+    # Ids of ended requests that are kept from being used again.
+    max_closed_requests: int = 1 << 14
+    # Interval at which those that may be used again are forgotten.
+    forget_closed_interval_ns: int = 1_000_000_000
     # Messages that a mailbox holds.
     mailbox_capacity: int = 1 << 16
     # Interval of the state line in the log.
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -12,6 +12,7 @@
 from loftroute.decision import interface as i
 from loftroute.protocol.catalog import Listing
 from loftroute.protocol.jobs import AttemptResult, ClientRequest
+from loftroute.relay.closed_requests import ClosedRequests
 from loftroute.relay.members import Members
 from loftroute.relay.units import Attempt, Units
 from loftroute.runtime.scheduler import Mailbox, Scheduler, spawn_actor
@@ -109,6 +110,7 @@
         self.on_watch: Callable[[i.Watch | i.Fetch], Any] = lambda _: None
         self.recall: Recall | None = None
         self.open_requests: dict[str, AdmittedRequest] = {}
+        self._closed_requests = ClosedRequests(config.transport.max_closed_requests)
         self.counters: Counter[str] = Counter()
         self.requests = self.served = 0
         self._max_open, self._one_at_a_time = config.budget.open_requests, not config.settings.second_copies
@@ -141,6 +143,7 @@
         """Start the actor and the check of deadlines."""
         spawn_actor(self._scheduler, "module", self.mailbox, self._run)
         self._watch_deadlines()
+        self._forget_closed_requests()
 
     @property
     def is_ready(self) -> bool:
@@ -196,10 +199,10 @@
         if len(self.open_requests) >= self._max_open:
             self.counters["turned away"] += 1
             return ticket.refused(self._retry_after_ms)
-        if job.id in self.open_requests:
+        now = self._scheduler.clock.now()
+        if job.id in self.open_requests or self._closed_requests.is_in_use(job.id, now):
             self.counters["id in use"] += 1
             return ticket.failed()
-        now = self._scheduler.clock.now()
         left = (
             min(job.time_left, self._class_deadlines[job.class_index])
             - waited
@@ -314,12 +317,12 @@
         if outcome is not i.Outcome.OK:
             self.counters[outcome.name] += 1
         elif is_open:
-            del self.open_requests[job.id]
+            self._remove(job.id, served=True)
             is_open = False
             self.served += 1
             request.ticket.served(result)
         if is_open and request.client_half_closed and all(other.ended for other in request.attempts):
-            del self.open_requests[job.id]
+            self._remove(job.id)
             is_open = False
             request.ticket.failed()
         # The time since the request was written excludes the dial.
@@ -334,9 +337,31 @@
             )
         )
 
-    def _remove(self, request_id: str) -> AdmittedRequest | None:
-        """Remove and return an open request; None if the id is not open."""
-        return self.open_requests.pop(request_id, None)
+    def _remove(self, request_id: str, served: bool = False) -> AdmittedRequest | None:
+        """Remove and return an open request; None if the id is not open.
+
+        The id stays in use while an attempt is out. If one may have had an effect that the client was not
+        told of, which has left or got an error, it stays in use until the deadline.
+        """
+        request = self.open_requests.pop(request_id, None)
+        if request and request.attempts:
+            was_told = served and not request.client_half_closed
+            until = request.deadline if not was_told and self._may_have_effect(request) else 0
+            self._closed_requests.add(request_id, request.attempts, until)
+        return request
+
+    def _may_have_effect(self, request: AdmittedRequest) -> bool:
+        """Return whether an attempt may have had an effect, which the records, if enabled, don't tell."""
+        return (
+            self.recall is None
+            and self.has_side_effects(request.job)
+            and any(attempt.may_have_run for attempt in request.attempts)
+        )
+
+    def _forget_closed_requests(self) -> None:
+        now = self._scheduler.clock.now()
+        self._closed_requests.forget_unused(now)
+        self._scheduler.call_at(now + self._transport.forget_closed_interval_ns, self._forget_closed_requests)
 
     # ---- Actions
 
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -36,6 +36,7 @@
         connection: the connection that carries it, if any.
         written_at: when the last byte was written; 0 if it was not.
         ended: `on_done` has been called.
+        turned_away: the unit has refused it, so that it never ran.
         cancelled: the attempt is no longer wanted.
     """
 
@@ -50,18 +51,25 @@
     written_at: int = 0
     ended: bool = False
     cancelled: bool = False
+    turned_away: bool = False
 
     @property
     def send_by(self) -> int:
         """End of the time for queueing, dialling and writing; sending later is not permitted."""
         return min(self.last_byte_by or self.deadline, self.deadline)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the unit may have executed it, or may yet: it was sent whole and not turned away."""
+        return bool(self.written_at) and not self.turned_away
+
     def finish(self, result: AttemptResult) -> None:
         """End the attempt and report its result."""
         if self.ended:
             invariants.check(False, "an attempt ends once")
             return
         self.ended, self.connection = True, None
+        self.turned_away = result.outcome is i.Outcome.FULL
         self.on_done(self, result)
 
     def cancel(self) -> None:
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from tests.stepped import MS, ask, got, reset
+from loftroute.lab.standins import command
+from loftroute.relay.closed_requests import ClosedRequests
+from tests.stepped import MS, ask, got, reset, served
 
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
 
@@ -69,3 +71,91 @@
     cluster.scheduler.turn(cluster.clock.now() - 300 * MS)
     cluster.turn(8)
     assert got(client) == 2 * b"-ERR failed\r\n" and cluster.units["u0"].asks() == 0
+
+
+ID = "00000000000000aa"
+
+
+def ask_with_id(kind="pay", d=2900):
+    """Return a request with the id `ID`."""
+    verb = "Q.ASK" if kind == "read" else "Q.DO"
+    return command(verb, "key", ID, f"c={kind},t=acme,d={d}")
+
+
+def unit_of(cluster, count):
+    """Run until the units have got `count` requests with the id; return the connections that got them."""
+    return cluster.until(lambda: (peers := id_receivers(cluster)) and len(peers) == count and peers)
+
+
+def id_receivers(cluster):
+    return [
+        peer
+        for unit in cluster.units.values()
+        for peer, heard in unit.heard.items()
+        for _ in range(heard.count(ID.encode()))
+    ]
+
+
+@pytest.mark.parametrize("answered", [False, True])
+@pytest.mark.parametrize("leave", ["close", "reset", "half-close"])
+def test_an_id_whose_client_left_does_not_run_again_while_its_request_may_run(world, leave, answered):
+    """Guards against an id that runs twice when it comes again after its client had left."""
+    cluster = world()
+    client, other = cluster.client(), cluster.client()
+    client.sendall(ask_with_id())
+    (peer,) = unit_of(cluster, 1)
+    if leave == "half-close":
+        client.shutdown(1)
+    else:
+        cluster.clients.remove(client)
+        reset(client) if leave == "reset" else client.close()
+    cluster.step(40)
+    if answered:
+        peer.sendall(served(b"V"))
+        cluster.step(40)
+    other.sendall(ask_with_id())
+    cluster.step(40)
+    assert got(other) == b"-ERR failed\r\n" and len(id_receivers(cluster)) == 1
+    assert cluster.relay.module.counters["id in use"] == 1
+
+
+def test_an_id_whose_client_left_may_be_used_again_after_its_deadline(world):
+    """Guards against ids that stay in use for good, and their memory."""
+    cluster = world()
+    client = cluster.client()
+    client.sendall(ask_with_id(d=2900))
+    unit_of(cluster, 1)[0].sendall(served(b"V"))
+    cluster.clients.remove(client)
+    reset(client)
+    cluster.turn(4)
+    assert len(cluster.relay.module._closed_requests) == 1
+    for _ in range(45):
+        cluster.step(100, 1)  # beyond the deadline and the interval at which ids are forgotten
+    assert len(cluster.relay.module._closed_requests) == 0
+    cluster.client().sendall(ask_with_id())
+    unit_of(cluster, 2)
+
+
+def test_an_id_that_never_ran_may_be_used_again_at_once(world):
+    """Guards against refusing the request that a client sends once more because it was turned away."""
+    cluster = world()
+    client = cluster.client()
+    client.sendall(ask_with_id(kind="read", d=200))
+    (peer,) = unit_of(cluster, 1)
+    peer.sendall(b"-BUSY\r\n")
+    cluster.until(lambda: got(client) or cluster.step(20, 1))
+    client.sendall(ask_with_id(kind="read"))
+    cluster.until(lambda: len(id_receivers(cluster)) >= 2 or cluster.step(20, 1))
+    assert cluster.relay.module.counters["id in use"] == 0
+
+
+def test_ids_of_ended_requests_have_a_bound():
+    """Guards against memory that grows with each request whose client has left."""
+    closed = ClosedRequests(bound=3)
+    for n in range(5):
+        closed.add(f"{n}", [], until=100)
+    closed.add("never out", [], until=0)
+    assert len(closed) == 3 and closed.is_in_use("4", 99) and not closed.is_in_use("0", 99)
+    assert not closed.is_in_use("4", 100)
+    closed.forget_unused(100)
+    assert len(closed) == 0
