After a client's end, read on only after the poll that follows an answer

Cause: an answer to a client that has closed frees one of the 64 places and causes a reset at the same moment; the next command was taken from the buffer in that turn, before the poll that tells of the reset. Ruled out: the grace (it had not passed).

Change: once the client's end is known, input waits for the next turn after an answer was written. A client that only half-closed is served on a turn later.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -91,6 +91,7 @@
         # Set once the client has half-closed: requests may be started until then.
         self._half_close_deadline: int | None = None
         self._half_close_over = False  # that time is over
+        self._answered_in_turn = 0  # the scheduler's turn in which an answer was written last
         self._unsent_since: int | None = None  # since when an answer is partly written
         self._bad_in_row = 0  # bad requests since the last good one
         self._paused_until: int | None = None  # nothing is read before then
@@ -178,7 +179,7 @@
                     if not self._read_once_more():
                         return self._close_gracefully()
                     continue
-                if self._has_unparsed_input and not self._must_not_read():
+                if self._has_unparsed_input and not self._is_stopped():
                     self.clients.scheduler.wake_next_turn(self.task)
                 stream.wait(self._next_wakeup(), self._poll_mask())
         finally:
@@ -308,6 +309,7 @@
         self.clients.scheduler.wake(self.task)
 
     def _track_unsent(self) -> None:
+        self._answered_in_turn = self.clients.scheduler.turns
         if not self._stream.unsent_bytes:
             self._unsent_since = None
         elif self._unsent_since is None:
@@ -398,10 +400,20 @@
         except ProtocolError as problem:
             self._reject_input(problem)
 
-    def _must_not_read(self) -> bool:
+    def _is_stopped(self) -> bool:
         """Return whether input has to wait until answers have been sent, a pause is over, or for good."""
         return self._framing_lost or self._paused_until is not None or self._is_full()
 
+    def _must_not_read(self) -> bool:
+        """Return whether input has to wait, at least for the next turn.
+
+        A client that has closed resets the connection when an answer arrives, which the next poll tells.
+        """
+        may_be_reset = (
+            self._half_close_deadline is not None and self._answered_in_turn == self.clients.scheduler.turns
+        )
+        return may_be_reset or self._is_stopped()
+
     def _take_step(self) -> bool:
         """Return whether one more read or command may be processed in this turn of the scheduler."""
         return self.clients.input_allowance.take_step(self._share)
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -4,7 +4,7 @@
 
 from loftroute.lab.standins import command
 from loftroute.relay.closed_requests import ClosedRequests
-from tests.stepped import MS, ask, got, reset, served
+from tests.stepped import MS, ask, got, reset, served, value
 
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
 
@@ -159,3 +159,62 @@
     assert not closed.is_in_use("4", 100)
     closed.forget_unused(100)
     assert len(closed) == 0
+
+
+def answer_all(cluster, except_for=b"no key"):
+    """Answer the requests that the units have got, but the one with a certain key."""
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            if heard and except_for not in heard:
+                unit.heard[peer] = b""
+                peer.sendall(served(b"V"))
+
+
+def warm_up(cluster):
+    """Leave more connections to the units at rest than a client can have commands open."""
+    clients, received = [cluster.client(), cluster.client()], b""
+    for client in clients:
+        client.sendall(b"".join(ask(f"warm{n}") for n in range(48)))
+    cluster.turn(100)
+    answer_all(cluster)
+    for _ in range(30):
+        cluster.step(1, 1)
+        received += b"".join(got(client) for client in clients)
+    assert received == 96 * value(b"V")
+    cluster.step(30)
+
+
+@pytest.mark.parametrize("count", [80, 300])
+def test_requests_behind_64_open_ones_are_not_started_once_their_client_has_closed(world, count):
+    """Guards against requests sent on for a client that closed with much still unread (review/9)."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client = cluster.client()
+    client.sendall(b"".join(ask(f"key{n}") for n in range(count)))
+    cluster.turn(30)
+    sent = sum(unit.asks() for unit in cluster.units.values())
+    assert sent == 64
+    client.close()
+    cluster.clients.remove(client)
+    cluster.step(250)
+    (first,) = [unit.asked(b"key0\r\n") for unit in cluster.units.values() if b"key0\r\n" in unit.look()]
+    first.sendall(served(b"V"))
+    for _ in range(8):
+        cluster.step(20, 2)
+    assert sum(unit.asks() for unit in cluster.units.values()) == sent
+
+
+def test_commands_behind_64_open_ones_are_processed_if_the_first_is_answered_last(world):
+    """Guards against whole commands that stay in the buffer, since nothing wakes their connection."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client, received = cluster.client(), b""
+    client.sendall(b"".join(ask(f"key{n}") for n in range(70)))
+    cluster.turn(30)
+    answer_all(cluster, except_for=b"key0\r\n")
+    cluster.turn(10)
+    for _ in range(60):
+        answer_all(cluster)
+        cluster.step(5, 1)
+        received += got(client)
+    assert received == 70 * value(b"V")
