Keep the served keys of forward-only releases in bounded memory

Cause: `min_build_by_key` has an entry for each key that was ever served. Evidence: the same load without forward_only is level (33.6 to 34.2 MB); ruled out by it: requests, connections, chunks.

Change: `ServedKeys` keeps the latest 8,192 keys exactly and older ones in a Bloom filter a build. It works since a filter never forgets a key, so that the rule holds, and its size does not depend on their number. Keys bound by the lowest ready build take the usual way of placing: with saturated filters all requests would scan the fleet otherwise.

Without forward_only nothing is recorded, as before.

--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -27,6 +27,7 @@
 
 from loftroute.decision import interface
 from loftroute.decision.interface import DedupScope, Effect, Outcome, Phase, ServerState, Verdict
+from loftroute.decision.served_keys import BloomFilter, ServedKeys
 from loftroute.decision.state import (
     Attempt,
     InstanceState,
@@ -101,6 +102,12 @@
 # highest share of the attempts for builds on trial.
 UNCROWDED_SHARE, MAX_TRIAL_SHARE = 0.2, 0.85
 
+# ---- keys that never return to an earlier build
+
+MAX_EXACT_KEYS = 8192  # kept as they are; older ones are kept in filters
+KEY_FILTER_SIZE_EXPONENT, KEY_FILTER_HASHES = 22, 4  # 512 KiB; at 400,000 keys 1% are taken for others
+MAX_KEY_FILTERS = 3  # one a build
+
 # ---- spans, timers and groups of outcomes
 
 # Finished work and placements are summed over these spans.
@@ -313,6 +320,9 @@
 
     def __init__(self, settings: interface.Settings, seed: int) -> None:
         super().__init__()
+        self.served_keys = ServedKeys(
+            MAX_EXACT_KEYS, MAX_KEY_FILTERS, lambda: BloomFilter(KEY_FILTER_SIZE_EXPONENT, KEY_FILTER_HASHES)
+        )
         self.settings, self.release, self.random = settings, settings.release, Random(seed)
         self.retry_tokens, self.cross_zone_factor = (
             MAX_RETRY_TOKENS / 2,
@@ -587,6 +597,11 @@
                 )
         return chances
 
+    def _lowest_allowed_build(self, request: Request) -> int:
+        """Return the newest build that has served the request's key while it binds, else 0."""
+        judged = self.release_state is not None and self.release_state.phase in JUDGED_PHASES
+        return self.served_keys.min_build(request.key) if judged else 0
+
     def _allowed_servers(self, request: Request) -> list[Server]:
         """Return the servers at which rules 2, 3 and 5 allow an attempt of this request now.
 
@@ -596,11 +611,7 @@
         repeat of a keyed request goes to servers that share the idempotency key.
         """
         first = first_possible_run(request)
-        lowest = (
-            self.min_build_by_key.get(request.key, 0)
-            if self.release_state and self.release_state.phase in JUDGED_PHASES
-            else 0
-        )
+        lowest = self._lowest_allowed_build(request)
         builds = [b for b in self.builds if b >= lowest]
         builds = [b for b in builds if b not in self.trial_builds or self._may_expose(b, request.cls)]
         servers = [s for s in self.ready if s.entry.build in builds]
@@ -844,7 +855,7 @@
         if (
             not request.attempts
             and self.recent_answers.total(self.now) >= HIGH_ANSWER_RATE
-            and request.key not in self.min_build_by_key
+            and not (self.builds and self._lowest_allowed_build(request) > self.builds[0])
         ):
             # Pools: 0 not on trial, 1 on trial, 2 all.
             servers, sums = self.pools[2 if crowded else draw_trial]
@@ -1013,9 +1024,7 @@
             self.recent_answers.add(self.now, 1.0)
             server.ejected_until = server.consecutive_ejections = 0
             if attempt.key is not None and self.release.forward_only:
-                self.min_build_by_key[attempt.key] = max(
-                    attempt.entry.build, self.min_build_by_key.get(attempt.key, 0)
-                )
+                self.served_keys.record(attempt.key, attempt.entry.build)
         if self.own_stall or (
             hard_failure and request and any(a.outcome in HARD_FAILURES for a in request.attempts[:-1])
         ):
@@ -1225,7 +1234,7 @@
                 self.build_started_at, self.alarm = self.stage_started_at, False
             self.scans = new_scans
             if news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
-                self.min_build_by_key.clear()
+                self.served_keys.clear()
                 self.outcomes_by_build.pop(news.build, None)
 
     def _wanted_verdict(self) -> Verdict:
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -18,6 +18,7 @@
     ServerList,
     ServerState,
 )
+from loftroute.decision.served_keys import ServedKeys
 
 UNLISTED_LIMIT = 4096  # servers that are no longer listed whose last start times are remembered
 
@@ -213,7 +214,7 @@
         last_uncrowded_at: when the fleet was last not crowded (see policy.py).
         exposure_tokens: token buckets for attempts at builds on trial, by build and index of the request
             class (0 for all classes if the cap is not per class).
-        min_build_by_key: the newest build that served a key; only this and newer ones may serve it again.
+        served_keys: the newest build that served a key; only this and newer ones may serve it again.
         lowest_build: the lowest build of any server.
         outcomes_by_build: last outcomes of each build.
         alarm: a scan found the present build worse than its baseline build.
@@ -259,7 +260,7 @@
     build_started_at: int = 0
     last_uncrowded_at: int = 0
     exposure_tokens: dict[tuple[int, int], float] = field(default_factory=dict)
-    min_build_by_key: dict[str, int] = field(default_factory=dict)
+    served_keys: ServedKeys = field(init=False)
     lowest_build: int = 0
     outcomes_by_build: dict[int, deque[OutcomeRecord]] = field(default_factory=dict)
     alarm: bool = False
@@ -354,6 +355,4 @@
         lowest = min(builds, default=0)
         if lowest > self.lowest_build:
             self.lowest_build = lowest
-            self.min_build_by_key = {
-                key: build for key, build in self.min_build_by_key.items() if build > lowest
-            }
+            self.served_keys.forget_up_to(lowest)
--- a/tests/test_scan.py
+++ b/tests/test_scan.py
@@ -201,7 +201,7 @@
         and len(instance.outcomes_by_build) <= 6
         and len(instance.exposure_tokens) <= 6
     )
-    assert len(instance.min_build_by_key) <= 12
+    assert len(instance.served_keys) <= 12
 
 
 def relay_with_few_outcomes(earlier: int, slow: bool = False, units: int = 60) -> Relay:
