--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,9 +1,10 @@
-"""A pytest plugin for KNOWN-RED.txt, the list of tests that fail because of a known, unfixed fault.
+"""A pytest plugin for KNOWN-RED.txt: tests and scripts that fail because of a known, unfixed fault.
 
-A line is `TEST: COMMAND (SEED): what was seen (issue N)`. TEST is the node id of a test, COMMAND runs it, and
-SEED begins with "seed" or "no seed". The file can be missing. A listed test runs as a strict expected
-failure: its failure is printed with its line and doesn't fail the run. The run fails if a listed test passes,
-or if a line is malformed or names no test.
+A line is `TEST: COMMAND (SEED): what was seen (issue N)`. TEST is the node id of a test, or the path of a
+shell script, COMMAND runs it, and SEED begins with "seed" or "no seed". The file can be missing. A listed test
+runs as a strict expected failure: its failure is printed with its line and doesn't fail the run. A listed
+script is not run; its line is printed with each run. The run fails if a listed test passes, or if a line is
+malformed or names neither a test nor a script.
 """
 
 import ast
@@ -15,13 +16,13 @@
 
 FILE = "KNOWN-RED.txt"
 LINE = re.compile(
-    r"(?P<test>tests/\w+\.py::\w+(?:\[.+?\])?): (?P<command>\S.*?) \((?:no )?seed[^()]*\): "
-    r"(?P<seen>\S.*) \(issue \d+\)"
+    r"(?P<test>tests/\w+\.py::\w+(?:\[.+?\])?|(?:[\w-]+/)+[\w-]+\.sh): "
+    r"(?P<command>\S.*?) \((?:no )?seed[^()]*\): (?P<seen>\S.*) \(issue \d+\)"
 )
 
 
 def read(root: Path) -> dict[str, str]:
-    """Return the line of each listed test; raise `pytest.UsageError` if the list is invalid."""
+    """Return the line of each listed test or script; raise `pytest.UsageError` if the list is invalid."""
     path = root / FILE
     lines = path.read_text(encoding="utf-8").splitlines() if path.exists() else []
     line_by_test: dict[str, str] = {}
@@ -30,13 +31,20 @@
         if match is None:
             raise pytest.UsageError(f"{FILE}: not 'TEST: COMMAND (SEED): what was seen (issue N)': {line!r}")
         if match["test"] in line_by_test or not _exists(root, match["test"]):
-            raise pytest.UsageError(f"{FILE}: no such test, or listed twice: {match['test']}")
+            raise pytest.UsageError(f"{FILE}: no such test or script, or listed twice: {match['test']}")
         line_by_test[match["test"]] = line.strip()
     return line_by_test
 
 
+def _is_script(name: str) -> bool:
+    """Return whether a name in the list is the path of a script; tests have the path of a Python file."""
+    return name.endswith(".sh")
+
+
 def _exists(root: Path, test: str) -> bool:
-    """Return whether a file defines the test, even if this run doesn't collect the file."""
+    """Return whether the script exists, or a file defines the test, even if it isn't collected."""
+    if _is_script(test):
+        return (root / test).is_file()
     file, name = test.split("::")
     path = root / file
     if not path.is_file():
@@ -72,7 +80,10 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    """Print the line of each listed test that failed."""
+    """Print the line of each listed test that failed, and of each listed script."""
+    for name, line in config.stash[LISTED].items():
+        if _is_script(name):
+            terminalreporter.write_line(f"known red, not run: {line}")
     listed = set(config.stash[LISTED].values())
     for report in terminalreporter.stats.get("xfailed", ()):
         if report.wasxfail in listed:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -91,13 +91,42 @@
         "tests/test_it.py::test_green: (seed 3): no command (issue 7)",
         "it is red",
         RED,
+        "review/0/run.sh: review/0/run.sh (no seed): there is no such script (issue 7)",
+        "cases/run.sh: cases/run.sh: a script's command without its seed (issue 7)",
+        "cases/run.sh: cases/run.sh (no seed): a script without an issue",
+        "cases/run.sh",
+        "cases: cases/run.sh (no seed): a folder (issue 7)",
+        "cases/case.py: cases/case.py (no seed): neither a test nor a shell script (issue 7)",
+        "../run.sh: ../run.sh (no seed): a script outside of the project (issue 7)",
     ],
 )
-def test_a_malformed_line_or_one_without_a_test_fails_the_run(run, line):
+def test_a_malformed_line_or_one_without_a_test_fails_the_run(run, scripts, line):
     status, output = run(RED, HALF, line)
     assert status not in (0, 5) and "KNOWN-RED.txt: " in output
 
 
+@pytest.fixture
+def scripts(tmp_path):
+    """Create a script, a Python file, and a script outside of the project."""
+    (tmp_path / "cases").mkdir()
+    for path in (tmp_path / "cases" / "run.sh", tmp_path / "cases" / "case.py", tmp_path.parent / "run.sh"):
+        path.write_text("exit 1\n")
+
+
+@pytest.mark.parametrize("workers", ["0", "2"])
+def test_a_listed_script_is_printed_and_not_run(run, scripts, workers):
+    line = "cases/run.sh: cases/run.sh (no seed of its own): it ends with 1 (issue 7)"
+    status, output = run(RED, HALF, line, workers=workers)
+    assert status == 0 and "2 passed, 2 xfailed" in output
+    assert output.count(f"known red, not run: {line}") == 1
+
+
+def test_a_script_listed_twice_fails_the_run(run, scripts):
+    line = "cases/run.sh: cases/run.sh (no seed): it ends with 1 (issue 7)"
+    status, output = run(RED, HALF, line, line)
+    assert status not in (0, 5) and "KNOWN-RED.txt: " in output
+
+
 def test_any_number_of_failing_tests_can_be_listed(run):
     more = [f"tests/test_it.py::test_red_{n}: pytest (no seed): a cause (issue 7)" for n in range(5)]
     tests = "".join(f"\n\ndef test_red_{n}():\n    assert 1 == 2\n" for n in range(5))
