--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,10 +1,12 @@
 """A pytest plugin for KNOWN-RED.txt: tests and scripts that fail because of a known, unfixed fault.
 
 A line is `TEST: COMMAND (SEED): what was seen (issue N)`. TEST is the node id of a test, or the path of a
-shell script, COMMAND runs it, and SEED begins with "seed" or "no seed". The file can be missing. A listed
-test runs as a strict expected failure: its failure is printed with its line and doesn't fail the run. A listed
-script is not run; its line is printed with each run. The run fails if a listed test passes, or if a line is
-malformed or names neither a test nor a script.
+shell script, COMMAND runs it, and SEED begins with "seed" or "no seed". The file can be missing.
+
+A listed test runs as a strict expected failure: its failure is printed with its line and doesn't fail the
+run. A listed script is not run; its line is printed with each run.
+
+The run fails if a listed test passes, or if a line is malformed or names neither a test nor a script.
 """
 
 import ast
