Proxy of the lab works with any descriptor; the stepped relay closes all its sockets

Seen: two whole suites in a row failed seven tests of tests/test_pair.py in one worker ("the condition did not become true in time" in `Duo.wait_for_mode`), which pass alone.

Cause, traced: the worker had more than 1,024 descriptors open, and `ConnectionProxy` waits with `select.select`, which raises ValueError from 1,024 on, so that the proxies to the witness ended without a word. `SteppedRelay.stop` left the units' ends and the relay's own connections to units open; the new tests with 64 to 100 of them brought a worker to 874 (counted after each test). Ruled out: load (the worker used 18% of a core), the relay's changes (its processes were never asked).

`tests/test_network.py` fails without the change in the proxy.

--- a/loftroute/lab/network.py
+++ b/loftroute/lab/network.py
@@ -115,13 +115,17 @@
 
     @staticmethod
     def _pump(client: socket.socket, server: socket.socket) -> None:
-        peer_of = {client: server, server: client}
+        ways = {client.fileno(): (client, server), server.fileno(): (server, client)}
+        poller = select.poll()  # `select.select` can't take descriptors from 1,024 on
+        for descriptor in ways:
+            poller.register(descriptor, select.POLLIN)
         while True:
-            for sock in select.select([client, server], [], [], 5)[0]:
-                received = sock.recv(65536)
+            for descriptor, _ in poller.poll(5000):
+                source, destination = ways[descriptor]
+                received = source.recv(65536)
                 if not received:
                     return
-                peer_of[sock].sendall(received)
+                destination.sendall(received)
 
     def cut(self) -> None:
         """Close all connections and refuse new ones until `restore`."""
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -216,7 +216,11 @@
             connection.close()
         if not self.relay.clients.closing:
             self.relay.clients.close()
-        for sock in (*self.clients, self.discovery, *(unit.listener for unit in self.units.values())):
+        for unit in self.relay.units.units.values():
+            for connection in list(unit.connections):
+                connection.abort()
+        peers = (peer for unit in self.units.values() for peer in (unit.listener, *unit.peers))
+        for sock in (*self.clients, self.discovery, *peers):
             sock.close()
 
 
