Log requests and closes by id and reason at DEBUG; count why requests and connections end

The records could not tell when a client's end was seen, why an attempt was begun or a connection closed: the log had one line. Without the level no request log object exists.

--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -6,7 +6,7 @@
 messages into these types.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 
@@ -413,6 +413,16 @@
 )
 
 
+class EndReason(Enum):
+    """Why the decision module refused a request or let it fail, for logs and counters."""
+
+    OVERLOAD = "overload"  # shed at its arrival
+    NO_TIME = "no time"  # its time, or its number of attempts, is used up
+    NO_SERVER = "no server"  # no server could take it in time
+    NOT_RETRIED = "not retried"  # an attempt ended, and no further one is allowed or worthwhile
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True, unsafe_hash=True)
 class Send:
     """Send an attempt to a server.
@@ -434,6 +444,7 @@
 
     request: str
     retry_after: int
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, unsafe_hash=True)
@@ -441,6 +452,7 @@
     """Answer a request with an error; the client must not assume that it did not run."""
 
     request: str
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, unsafe_hash=True)
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -26,7 +26,7 @@
 from random import Random
 
 from loftroute.decision import interface
-from loftroute.decision.interface import DedupScope, Effect, Outcome, Phase, ServerState, Verdict
+from loftroute.decision.interface import DedupScope, Effect, EndReason, Outcome, Phase, ServerState, Verdict
 from loftroute.decision.served_keys import BloomFilter, ServedKeys
 from loftroute.decision.state import (
     Attempt,
@@ -676,11 +676,12 @@
             self.now + event.time_left,
         )
         too_late = self.now + self.give_up_margin[cls] > request.target_at and not request_class.late_value
-        (
-            self._give_up
-            if too_late or self._is_overloaded(request, over_quota or event.is_retry)
-            else self._place
-        )(request)
+        if too_late:
+            self._give_up(request, EndReason.NO_TIME)
+        elif self._is_overloaded(request, over_quota or event.is_retry):
+            self._give_up(request, EndReason.OVERLOAD)
+        else:
+            self._place(request)
 
     def _is_overloaded(self, request: Request, low_priority: bool) -> bool:
         """Return whether to give up a request because of overload (load shedding).
@@ -844,7 +845,7 @@
         """
         ends_at = min(request.deadline_at - self.give_up_margin[request.cls], self._key_known_until(request))
         if self.now >= ends_at or len(request.attempts) >= self.settings.max_attempts:
-            return self._give_up(request)
+            return self._give_up(request, EndReason.NO_TIME)
         if request.id not in self.held_requests:
             self.recent_placements.add(self.now, 1.0)
         draw_trial, crowded = (
@@ -878,7 +879,7 @@
         if server := self._select(drawn, request, draw_share) or self._choose_of_two(warm, request):
             return self._send(request, server)
         if self.now >= request.target_at - self.give_up_margin[request.cls]:
-            return self._give_up(request)
+            return self._give_up(request, EndReason.NO_SERVER)
         # The first held request starts the time that the next cold draw covers.
         self.last_cold_draw_at = self.last_cold_draw_at if self.held_requests else self.now
         self.held_requests[request.id] = None
@@ -933,7 +934,7 @@
         )
         return int(timeout) if timeout < 0.7 * to_target else time_left
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, reason: EndReason) -> None:
         """Give the final answer now: a refusal if the client may safely retry, else a failure.
 
         A retry is safe if no attempt can have run, if the request is safe, or if all servers will still know
@@ -952,9 +953,10 @@
             and self.now + retry_after < self._key_known_until(request)
         )
         if not first_possible_run(request) or effect is Effect.SAFE or key_known:
-            self._emit(interface.Refuse(request.id, retry_after if self.settings.retry_after else 0))
+            told_retry_after = retry_after if self.settings.retry_after else 0
+            self._emit(interface.Refuse(request.id, told_retry_after, reason))
         else:
-            self._emit(interface.Fail(request.id))
+            self._emit(interface.Fail(request.id, reason))
 
     def _on_attempt_ended(self, event: interface.AttemptEnded) -> None:
         """Learn from the outcome of an attempt, then retry the request or give it up if it is still open.
@@ -979,7 +981,7 @@
             may_retry = event.outcome in NEVER_RAN or request.request_class.effect is not Effect.UNSAFE
             cost = float(event.outcome is not Outcome.CONNECT_FAILED)
             if not may_retry or self.retry_tokens < cost or self.now >= request.target_at:
-                return self._give_up(request)
+                return self._give_up(request, EndReason.NOT_RETRIED)
             self.retry_tokens -= cost
             self._place(request)
 
--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -7,6 +7,7 @@
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
 from loftroute.relay.input_allowance import ConnectionShare
+from loftroute.relay.request_log import CloseReason
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Mailbox, Task
 from loftroute.runtime.stream import Stream
 
@@ -66,6 +67,7 @@
 
     Attributes:
         clients: all client connections and what they share.
+        number: its place in the order in which connections were accepted, from 1.
         slots: commands whose answers have not been written, in order.
         mailbox: slots that have got their answer.
         commands: number of complete commands received.
@@ -76,6 +78,8 @@
 
     def __init__(self, clients: "Clients", stream: Stream, waited: int) -> None:
         self.clients, self._stream = clients, stream
+        clients.accepted += 1
+        self.number = clients.accepted
         # How long the connection may have waited to be accepted (nanoseconds).
         self._waited = waited
         if waited:
@@ -96,6 +100,7 @@
         self._bad_in_row = 0  # bad requests since the last good one
         self._paused_until: int | None = None  # nothing is read before then
         self.commands = 0
+        self._close_reason = CloseReason.TASK_FAILED  # unless the task or a caller gives another
         self.last_activity = clients.scheduler.polled_at
         self.task: Task = clients.scheduler.spawn("client", self._run)
         self.mailbox.owner = self.task
@@ -160,8 +165,9 @@
         stream = self._stream
         try:
             while True:
-                if stream.events & ERROR_EVENTS:
-                    return  # reset by the client, which can't get any answer
+                if stream.events & ERROR_EVENTS:  # the client can't get any answer
+                    self._close_reason = CloseReason.CLIENT_RESET
+                    return
                 if stream.peer_ended:
                     self._track_half_close()
                 if self._paused_until and self._is_paused():
@@ -172,11 +178,15 @@
                 if self.mailbox.items or stream.unsent_bytes:
                     self._flush()
                 if stream.broken or (stream.ended and not self._awaits_answers()):
+                    reset = CloseReason.CLIENT_RESET if stream.broken else None
+                    self._close_reason = reset or CloseReason.CLIENT_ENDED
                     return
                 if self._framing_lost and not (self.slots or stream.unsent_bytes):
+                    self._close_reason = CloseReason.FRAMING_LOST
                     return self._linger()
                 if self.clients.closing and not self._is_in_use:
                     if not self._read_once_more():
+                        self._close_reason = CloseReason.SHUTDOWN
                         return self._close_gracefully()
                     continue
                 if self._has_unparsed_input and not self._is_stopped():
@@ -212,11 +222,16 @@
             # The half-close may have arrived at any time since the last poll.
             unnoticed = max(clients.scheduler.lag, self._waited)
             self._half_close_deadline = now + self._transport.half_close_grace_ns - unnoticed
+            self._log_end_seen()
             self._report_half_close(clients.scheduler.turns - 1)
         if now >= self._half_close_deadline:
             self._half_close_over = True
             self._report_half_close(clients.scheduler.turns + 1)
 
+    def _log_end_seen(self) -> None:
+        if log := self.clients.module.request_log:
+            log.client_end_seen(self.number, len(self.slots), self.partly_read)
+
     def _report_half_close(self, before_turn: int) -> None:
         """Report the half-close for the open requests that were read before a turn of the scheduler."""
         for slot in list(self.slots):
@@ -296,6 +311,8 @@
 
     def _release(self) -> None:
         """Close the socket and report the open requests as abandoned."""
+        if not self._stream.closed:
+            self.clients.connection_ended(self, self._close_reason)
         self._stream.close()
         self._large_chunk_left()
         for slot in self.slots:
@@ -339,17 +356,18 @@
                 slot.abandon()
                 slot.pieces = resp.error_reply("ERR failed")
         self._flush()
-        self.close()
+        self.close(CloseReason.EVICTED)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection from another task; its descriptor is free immediately."""
+        self._close_reason = reason
         self._release()
         self.clients.scheduler.cancel(self.task)
 
     def expire(self) -> None:
         """Close an idle or stalled connection; a client that has sent an incomplete command gets an error."""
         if self._framing_lost or self._stream.unsent_bytes or not self._has_unprocessed_input:
-            return self.close()
+            return self.close(CloseReason.FRAMING_LOST if self._framing_lost else CloseReason.IDLE)
         self.clients.half_commands += 1
         self._fail_framing("ERR no whole command in time")
         self.clients.scheduler.wake(self.task)
--- a/loftroute/relay/clients.py
+++ b/loftroute/relay/clients.py
@@ -1,5 +1,7 @@
 """The listener for clients, and the limits that all client connections share."""
 
+from collections import Counter
+
 from loguru import logger
 
 from loftroute.config import Config
@@ -8,6 +10,7 @@
 from loftroute.relay.input_allowance import InputAllowance
 from loftroute.relay.message_budget import MessageBudget
 from loftroute.relay.module import Module
+from loftroute.relay.request_log import CloseReason
 from loftroute.runtime.scheduler import Scheduler, spawn_supervised
 from loftroute.runtime.stream import Listener
 
@@ -29,6 +32,8 @@
         idle_clients_closed: idle connections closed after a single command.
         bad_requests: commands answered with an error.
         closing: the relay is shutting down.
+        accepted: number of connections accepted.
+        closes: number of connections closed, by the reason.
     """
 
     def __init__(self, config: Config, scheduler: Scheduler, module: Module) -> None:
@@ -42,7 +47,8 @@
         self.last_accept = self._next_eviction_at = self._full_since = 0
         self.slow_readers_closed = 0
         self.malformed = self.crowded = self.half_commands = self.closed_unread = self.idle_clients_closed = 0
-        self.bad_requests = 0
+        self.bad_requests = self.accepted = 0
+        self.closes: Counter[CloseReason] = Counter()
         self.closing = False
         self._task = spawn_supervised(scheduler, "listener", self._run)
         self._trim()
@@ -89,7 +95,7 @@
         for connection in idle[: max(len(idle) - self.config.budget.idle_client_connections, 0)]:
             if connection.can_close():
                 self.idle_clients_closed += 1
-                connection.close()
+                connection.close(CloseReason.THINNED_OUT)
 
     def _shed_load(self) -> None:
         """Refuse pending connections with BUSY.
@@ -144,6 +150,12 @@
             "unread answers KB": sum(c.unsent for c in connections) >> 10,
         }
 
+    def connection_ended(self, connection: Connection, reason: CloseReason) -> None:
+        """Count the end of a connection, whose open requests are about to be dropped."""
+        self.closes[reason] += 1
+        if log := self.module.request_log:
+            log.client_closed(connection.number, reason, len(connection.slots))
+
     def connection_closed(self, connection: Connection) -> None:
         """Forget a closed connection."""
         self.connections.discard(connection)
@@ -167,7 +179,7 @@
             if total_bytes > self.config.budget.unsent_bytes or connection.is_slow_reader(now):
                 total_bytes -= connection.unsent
                 self.slow_readers_closed += 1
-                connection.close()
+                connection.close(CloseReason.SLOW_READER)
 
     def close(self) -> None:
         """Accept the pending connections and stop listening; connections close once they are idle."""
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -1,6 +1,7 @@
 """Builds the relay, runs it, logs its state, reloads its addresses and shuts it down gracefully."""
 
 import gc
+import os
 import resource
 import signal
 import sys
@@ -18,10 +19,13 @@
 from loftroute.relay.discovery import Discovery
 from loftroute.relay.module import Module
 from loftroute.relay.platform import Changes, Votes
+from loftroute.relay.request_log import RequestLog
 from loftroute.relay.units import Units
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import MS, Scheduler, TimeSource, spawn_supervised
 
+LOG_LEVEL_VARIABLE = "LOFTROUTE_LOG_LEVEL"  # environment variable; DEBUG enables the log of requests
+
 
 class Subsystem(Protocol):
     """An optional component that is closed with the relay."""
@@ -61,6 +65,8 @@
         self.is_ending = self._reload_requested = False
         self.reloads = 0
         self.subsystems: list[Subsystem] = []
+        if is_debug_logged():
+            self.module.request_log = RequestLog()
 
     def start(self) -> None:
         """Start all actors; they run once the scheduler does."""
@@ -201,6 +207,7 @@
             "messages KB": scheduler.message_memory.used_bytes >> 10,
             "most messages KB": scheduler.message_memory.take_peak() >> 10,
             **self.clients.memory_figures(),
+            **{f"closed: {reason.value}": count for reason, count in self.clients.closes.items()},
             "cpu s": round(usage.ru_utime + usage.ru_stime, 1),
             "task failures": scheduler.failures,
             "bad requests": self.clients.bad_requests,
@@ -241,9 +248,15 @@
         return 0
 
 
+def is_debug_logged() -> bool:
+    """Return whether the environment asks for the debug log of requests."""
+    return os.environ.get(LOG_LEVEL_VARIABLE) == "DEBUG"
+
+
 def log_to_stderr(level: str = "INFO", json: bool = False) -> None:
-    """Log to standard error, one record per line, optionally as JSON."""
+    """Log to standard error, one record per line, optionally as JSON; the environment's DEBUG goes first."""
     logger.remove()
+    level = "DEBUG" if is_debug_logged() else level
     if json:
         logger.add(
             sys.stderr, format="{message}", level=level, serialize=True, backtrace=False, diagnose=False
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -14,6 +14,7 @@
 from loftroute.protocol.jobs import AttemptResult, ClientRequest
 from loftroute.relay.closed_requests import ClosedRequests
 from loftroute.relay.members import Members
+from loftroute.relay.request_log import RequestLog
 from loftroute.relay.units import Attempt, Units
 from loftroute.runtime.scheduler import Mailbox, Scheduler, spawn_actor
 
@@ -99,6 +100,7 @@
         open_requests: admitted requests without a final answer, by request id.
         requests, served: number of requests admitted and of values returned.
         counters: other event counts of the state line, by name.
+        request_log: the debug log of requests; None unless it is enabled.
     """
 
     def __init__(self, config: Config, scheduler: Scheduler, decider: Decider, units: Units) -> None:
@@ -109,6 +111,7 @@
         self.on_vote: Callable[[i.Vote], Any] = lambda _: None
         self.on_watch: Callable[[i.Watch | i.Fetch], Any] = lambda _: None
         self.recall: Recall | None = None
+        self.request_log: RequestLog | None = None
         self.open_requests: dict[str, AdmittedRequest] = {}
         self._closed_requests = ClosedRequests(config.transport.max_closed_requests)
         self.counters: Counter[str] = Counter()
@@ -211,6 +214,8 @@
         left = max(left if self._shutdown_deadline is None else min(left, self._shutdown_deadline - now), MS)
         self.open_requests[job.id] = AdmittedRequest(job, ticket, now + left, [])
         self.requests += 1
+        if self.request_log:
+            self.request_log.admitted(job, left)
         self.mailbox.put(job.arrival_event(left))
 
     def refuse_for_memory(self, ticket: Ticket) -> None:
@@ -240,6 +245,7 @@
         request = self.open_requests.get(job.id)
         if request and request.job is job:
             self._remove(job.id)
+            self._log_end(job.id, "dropped, its client has gone")
             self.counters["clients gone"] += 1
             self.mailbox.put(i.ClientGone(job.id))
             self._cancel_unsent(request)
@@ -262,6 +268,7 @@
             return
         if any(attempt.written_at and not attempt.ended for attempt in request.attempts):
             request.client_half_closed = True
+            self._log_end(job.id, "ends with its open attempt, its client may have gone")
             self.counters["clients leaving"] += 1
             return self.mailbox.put(i.ClientGone(job.id))
         self.client_gone(job)
@@ -304,6 +311,7 @@
         ]:
             invariants.check(False, "every request is answered by its deadline")
             self._remove(request.job.id)
+            self._log_end(request.job.id, "failed: overdue")
             request.ticket.failed()
             self.mailbox.put(i.ClientGone(request.job.id))
 
@@ -320,16 +328,20 @@
             self._remove(job.id, served=True)
             is_open = False
             self.served += 1
+            self._log_end(job.id, "served")
             request.ticket.served(result)
         if is_open and request.client_half_closed and all(other.ended for other in request.attempts):
             self._remove(job.id)
             is_open = False
+            self._log_end(job.id, "failed: its client may have gone")
             request.ticket.failed()
         # The time since the request was written excludes the dial.
         elapsed_ns = self._scheduler.clock.now() - (attempt.written_at or attempt.started_at)
         if outcome is not i.Outcome.TIMEOUT:
             # The answer may have arrived at any time since the last poll; that delay is the relay's own.
             elapsed_ns = max(elapsed_ns - self._scheduler.lag, 0)
+        if self.request_log:
+            self.request_log.attempt_ended(job.id, attempt.number, outcome.name, elapsed_ns)
         self.members.attempt_ended(attempt.server, outcome)
         self.mailbox.put(
             i.AttemptEnded(
@@ -350,6 +362,10 @@
             self._closed_requests.add(request_id, request.attempts, until)
         return request
 
+    def _log_end(self, request_id: str, how: str) -> None:
+        if self.request_log:
+            self.request_log.ended(request_id, how)
+
     def _may_have_effect(self, request: AdmittedRequest) -> bool:
         """Return whether an attempt may have had an effect, which the records, if enabled, don't tell."""
         return (
@@ -379,6 +395,8 @@
         )
         allowed = not (attempts and self._one_at_a_time) or all(a.ended for a in attempts)
         attempts.append(attempt)
+        if self.request_log:
+            self.request_log.attempt_ordered(request.job.id, attempt.number, attempt.server, deadline - now)
         if not (
             invariants.check(allowed, "one attempt of a request at a time")
             and left > 0
@@ -410,6 +428,7 @@
         if request is None or request.job is not job:
             return
         self._remove(job.id)
+        self._log_end(job.id, "withdrawn")
         self.counters["withdrawn"] += 1
         if harmless:
             request.ticket.refused(self._retry_after_ms)
@@ -420,13 +439,17 @@
     def _refuse(self, action: i.Refuse) -> None:
         request = self._remove(action.request)
         if request:
+            self._log_end(action.request, f"refused: {action.reason.value}")
             self.counters["refused"] += 1
+            self.counters[f"refused {action.reason.value}"] += 1
             request.ticket.refused(-(-action.retry_after // MS))  # rounded up to milliseconds
 
     def _fail(self, action: i.Fail) -> None:
         request = self._remove(action.request)
         if request:
+            self._log_end(action.request, f"failed: {action.reason.value}")
             self.counters["failed"] += 1
+            self.counters[f"failed {action.reason.value}"] += 1
             request.ticket.failed()
 
     def _cancel(self, action: i.Cancel) -> None:
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -13,6 +13,7 @@
 from loftroute.lab.setup import setup
 from loftroute.lab.standins import command, free_port
 from loftroute.relay.lifecycle import Relay
+from loftroute.relay.request_log import CloseReason
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -213,7 +214,7 @@
     def stop(self) -> None:
         """Close all sockets."""
         for connection in list(self.relay.clients.connections):
-            connection.close()
+            connection.close(CloseReason.SHUTDOWN)
         if not self.relay.clients.closing:
             self.relay.clients.close()
         for unit in self.relay.units.units.values():
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,6 +8,7 @@
 from loftroute import config
 from loftroute.lab.standins import command, free_port
 from loftroute.relay.clients import Clients
+from loftroute.relay.request_log import CloseReason
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import READ, Scheduler
 from tests.harness import setup
@@ -17,6 +18,7 @@
     """Stand-in for the module that accepts requests and never answers."""
 
     is_ready = True
+    request_log = None
 
     def __init__(self) -> None:
         self.accepted = []
@@ -41,7 +43,7 @@
     clients = Clients(config.read(raw, {}), scheduler, Module())
     yield clients
     for connection in list(clients.connections):
-        connection.close()
+        connection.close(CloseReason.SHUTDOWN)
     clients.close()
 
 
