--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -13,10 +13,10 @@
 import threading
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qs, urlparse
 
 from loftroute.lab.setup import SETUP, setup
@@ -75,6 +75,12 @@
     return b"*%d\r\n" % len(encoded) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in encoded)
 
 
+class Listed(Protocol):
+    """What discovery lists: anything that listens at an `address`, HOST:PORT."""
+
+    address: str
+
+
 class Unit:
     """A unit that records the commands it receives.
 
@@ -309,7 +315,7 @@
 
     ids = iter(range(1, 1 << 30))
 
-    def __init__(self, tmp: Path, units: dict[str, Unit], **changes: Any) -> None:
+    def __init__(self, tmp: Path, units: Mapping[str, Listed], **changes: Any) -> None:
         self.tmp, self.units, self.port = tmp, units, free_port()
         self.discovery, self.platform = Discovery(), Platform()
         builds = changes.pop("builds", {})
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -218,3 +218,41 @@
         cluster.step(5, 1)
         received += got(client)
     assert received == 70 * value(b"V")
+
+
+def send_more_than_buffers_hold(cluster, client, commands):
+    """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
+    data, sent, stuck = b"".join(commands), 0, 0
+    while stuck < 20 and sent < len(data):
+        try:
+            sent += client.send(data[sent : sent + (1 << 16)])
+            stuck = 0
+        except BlockingIOError:
+            stuck += 1
+            cluster.turn()
+    cluster.turn(30)
+    return sent
+
+
+@pytest.mark.parametrize("body", [2000, 60000])
+def test_no_attempt_is_begun_for_a_client_that_closed_behind_a_full_receive_window(world, body):
+    """Guards against attempts for a client whose end waits behind what the relay does not read."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client = cluster.client()
+    commands = [ask(f"key{n}", kind="pay") + b"$%d\r\n" % body + b"B" * body + b"\r\n" for n in range(900)]
+    commands = [command_.replace(b"*4", b"*5", 1) for command_ in commands]
+    assert send_more_than_buffers_hold(cluster, client, commands) > 64 * body
+    sent = sum(unit.asks() for unit in cluster.units.values())
+    assert sent == 64
+    client.close()
+    cluster.clients.remove(client)
+    for _ in range(10):
+        cluster.step(25)
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            if heard and b"key0\r\n" not in heard:
+                peer.sendall(b"-BUSY\r\n")
+    for _ in range(8):
+        cluster.step(20, 2)
+    assert sum(unit.asks() for unit in cluster.units.values()) == sent
