Read on to see a client's end; begin nothing for one whose end may be hidden

Cause: a connection with 64 commands open, or throttled, was not read at all. Once its receive window is full the client's FIN waits in the client's own system, so neither POLLIN nor POLLRDHUP can tell; only a reset on the first answer did. Class: back pressure that also stops the signal of the peer's end. Change: while commands are open, input is read ahead (256 KiB a connection, only while under half of the message memory is in use), so the end arrives. What lies beyond can't be seen: then the client counts as possibly gone from the last moment at which all was read (relay/client_presence.py), no attempt is begun after the grace, and an answer that is not reset within the network margin proves that it was there. Why it works: an attempt needs proof, not older than the grace, that the client was there; before, it needed the absence of a message that could not arrive.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -309,6 +309,9 @@
     retry_after_ns: int = 250_000_000
     # Unanswered commands per client connection before reading stops.
     max_pipelined: int = 64
+    # Input per client connection that is read, but not processed, while no more commands may be open. The end
+    # of a client that has more unread than this and what the systems buffer can't be seen.
+    max_read_ahead_bytes: int = 1 << 18
     # Unanswered commands per client connection while half of the memory for messages is in use.
     max_pipelined_if_scarce: int = 2
     # Unsent bytes per client connection before reading stops.
--- a/loftroute/lab/departures/play.py
+++ b/loftroute/lab/departures/play.py
@@ -9,6 +9,7 @@
 import socket
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -134,10 +135,11 @@
     """Return one line on a play."""
     history = result.history
     left = sum(request.left_at is not None for request in history.requests.values())
+    rules = Counter(violation.rule for violation in result.violations)
     verdict = "void" if is_void(history) else "broken" if result.violations else "held"
     return (
         f"seed {result.plan.seed}: {verdict}, {len(history.requests)} requests, {left} of them left, "
-        f"{len(history.attempts)} attempts, {len(result.violations)} violations, "
+        f"{len(history.attempts)} attempts, violations {dict(rules) or 'none'}, "
         f"lag of the play {history.worst_lag_s * 1000:.0f} ms"
     )
 
--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -6,6 +6,7 @@
 from loftroute import invariants
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
+from loftroute.relay.client_presence import ClientPresence
 from loftroute.relay.input_allowance import ConnectionShare
 from loftroute.relay.request_log import CloseReason
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Mailbox, Task
@@ -92,10 +93,9 @@
         self._has_large_chunk = False  # for the command that is partly read
         self._share = ConnectionShare()
         self._has_unparsed_input = False  # there is input whose turn has not come
-        # Set once the client has half-closed: requests may be started until then.
-        self._half_close_deadline: int | None = None
-        self._half_close_over = False  # that time is over
+        self._presence = ClientPresence(self._transport.half_close_grace_ns)
         self._answered_in_turn = 0  # the scheduler's turn in which an answer was written last
+        self._answered_at: int | None = None  # when one was, if its client's system may yet reset it
         self._unsent_since: int | None = None  # since when an answer is partly written
         self._bad_in_row = 0  # bad requests since the last good one
         self._paused_until: int | None = None  # nothing is read before then
@@ -124,7 +124,7 @@
     @property
     def _has_unprocessed_input(self) -> bool:
         """Whether a command has been read in part, or has been read and waits for its turn."""
-        return bool(len(self._stream.buffer)) or self._skipper is not None
+        return bool(self.partly_read) or self._skipper is not None
 
     @property
     def has_open_request(self) -> bool:
@@ -134,7 +134,7 @@
     @property
     def is_half_closed(self) -> bool:
         """Whether the client has ended its sending side; most clients that do so have closed."""
-        return self._half_close_deadline is not None
+        return self._presence.has_ended
 
     @property
     def unsent(self) -> int:
@@ -144,7 +144,7 @@
     @property
     def partly_read(self) -> int:
         """Bytes of commands that have been read and not been processed."""
-        return len(self._stream.buffer)
+        return len(self._stream.buffer) + self._stream.bytes_ahead
 
     @property
     def held_answer_bytes(self) -> int:
@@ -168,11 +168,11 @@
                 if stream.events & ERROR_EVENTS:  # the client can't get any answer
                     self._close_reason = CloseReason.CLIENT_RESET
                     return
-                if stream.peer_ended:
-                    self._track_half_close()
+                if stream.peer_ended or self._presence.is_in_doubt:
+                    self._track_presence()
                 if self._paused_until and self._is_paused():
                     pass
-                elif stream.events or stream.buffer.end > stream.buffer.start:
+                elif stream.has_input or stream.buffer.end > stream.buffer.start:
                     self._read()
                     self._waited = 0
                 if self.mailbox.items or stream.unsent_bytes:
@@ -189,44 +189,83 @@
                         self._close_reason = CloseReason.SHUTDOWN
                         return self._close_gracefully()
                     continue
-                if self._has_unparsed_input and not self._is_stopped():
+                mask = self._look_for_end()
+                if self._has_unparsed_input and not (self._is_stopped() or self._is_held()):
                     self.clients.scheduler.wake_next_turn(self.task)
-                stream.wait(self._next_wakeup(), self._poll_mask())
+                stream.wait(self._next_wakeup(), mask)
         finally:
             self._release()
 
     def _next_wakeup(self) -> int | None:
         """Return when the task has something to do although no event is reported; None for never."""
-        if self._half_close_deadline is None or self._half_close_over:
-            return self._paused_until
-        return min(self._half_close_deadline, self._paused_until or self._half_close_deadline)
+        times = (self._paused_until, self._presence.next_check, self._proof_at())
+        return min((time for time in times if time is not None), default=None)
 
     def _awaits_answers(self) -> bool:
         """Return whether a client that has half-closed, and sends nothing more, is still owed answers."""
         if self._framing_lost or self.clients.module.recall is not None:
             return False
-        self._track_half_close()
+        self._track_presence()
         return bool(self.slots or self._stream.unsent_bytes) and not self._stream.broken
 
-    def _track_half_close(self) -> None:
-        """Handle a half-close, which poll reports even if commands before it have not been read.
+    def _track_presence(self) -> None:
+        """Handle the client's end, seen or possibly hidden behind unread input.
 
-        The client has closed, or waits for its answers: the two look the same until something is written.
-        Attempts in progress go on and no others are started. Commands read in the same poll as the end, or in
-        the one before, and those that are still unread may be started for a short time.
+        A client that has ended its side has closed, or waits for its answers: the two look the same until
+        something is written. Attempts in progress go on and no others are started. Commands read in the same
+        poll as the end, or in the one before, and those still unread may be started for a short time.
         """
-        clients, now = self.clients, self.clients.scheduler.clock.now()
-        if self._half_close_over or self._framing_lost or clients.module.recall is not None:
+        presence, scheduler = self._presence, self.clients.scheduler
+        if self._framing_lost or self.clients.module.recall is not None:
             return
-        if self._half_close_deadline is None:
-            # The half-close may have arrived at any time since the last poll.
-            unnoticed = max(clients.scheduler.lag, self._waited)
-            self._half_close_deadline = now + self._transport.half_close_grace_ns - unnoticed
+        if self._stream.peer_ended and not presence.has_ended:
+            # The end may have arrived at any time since the last poll.
+            presence.end_seen(scheduler.clock.now() - max(scheduler.lag, self._waited))
             self._log_end_seen()
-            self._report_half_close(clients.scheduler.turns - 1)
-        if now >= self._half_close_deadline:
-            self._half_close_over = True
-            self._report_half_close(clients.scheduler.turns + 1)
+            self._report_half_close(scheduler.turns - 1)
+        proof_at = self._proof_at()
+        if proof_at is not None and scheduler.polled_at >= proof_at:
+            presence.was_there(self._answered_at)
+            self._answered_at = None
+        if presence.is_in_doubt and presence.check(scheduler.clock.now()):
+            self._report_half_close(scheduler.turns + 1)
+
+    def _note_answer(self) -> None:
+        """Note that an answer was passed to the system, if that may tell whether the client is there."""
+        if self._presence.is_in_doubt and not self._stream.unsent_bytes:
+            self._answered_at = self.clients.scheduler.clock.now()
+
+    def _proof_at(self) -> int | None:
+        """Return when the last answer proves that the client was there, unless it is reset before then.
+
+        It is of interest only while the client's end may be hidden.
+        """
+        if self._answered_at is None or not self._presence.is_in_doubt or self._presence.has_ended:
+            return None
+        return self._answered_at + self._transport.network_margin_ns
+
+    def _look_for_end(self) -> int:
+        """Read on to see the client's end, if it has requests open; return the poll events to wait for."""
+        stream, presence = self._stream, self._presence
+        if self._framing_lost or self.clients.module.recall is not None:
+            return self._poll_mask()
+        if self.slots and stream.events and self._may_read_ahead():
+            stream.read_ahead(self._transport.max_read_ahead_bytes)
+            if stream.peer_ended:
+                self._track_presence()
+        mask = self._poll_mask()
+        if mask & READ and not stream.events & READ:
+            if presence.is_in_doubt:
+                presence.input_drained()
+        elif self.slots or self._skipper is not None:  # else the last answer would have been reset
+            presence.input_unread(self.clients.scheduler.polled_at - self.clients.scheduler.lag)
+        return mask
+
+    def _may_read_ahead(self) -> bool:
+        return (
+            self._stream.bytes_ahead < self._transport.max_read_ahead_bytes
+            and not self.clients.message_budget.is_scarce
+        )
 
     def _log_end_seen(self) -> None:
         if log := self.clients.module.request_log:
@@ -250,7 +289,7 @@
         A command that there is no memory for is discarded from here on.
         """
         stream, buffer = self._stream, self._stream.buffer
-        if buffer.end > buffer.start and stream.events and buffer.is_full():
+        if buffer.end > buffer.start and stream.has_input and buffer.is_full():
             self._allocate_for_command(buffer.next_chunk_size())
         return not self._framing_lost and stream.read()
 
@@ -303,10 +342,12 @@
             return
         self.slots.popleft()
         stream.write(slot.pieces)
+        self._note_answer()
         self._track_unsent()
         if not self._framing_lost:
             self.last_activity = self.clients.scheduler.polled_at
-        if self.slots or stream.unsent_bytes or stream.ended or self.clients.closing:
+        is_watched = stream.ended or self.clients.closing or self._presence.is_in_doubt
+        if self.slots or stream.unsent_bytes or is_watched:
             self.mailbox.put(slot)  # wakes the task for the rest
 
     def _release(self) -> None:
@@ -388,9 +429,9 @@
 
     def _poll_mask(self) -> int:
         """Return the poll events to wait for."""
-        reading = (
-            0 if self._is_full() or self._framing_lost or self._paused_until or self._stream.ended else READ
-        )
+        is_processing = not (self._is_full() or self._is_held() or self._paused_until)
+        may_read = is_processing or (self.slots and self._may_read_ahead())
+        reading = READ if may_read and not (self._framing_lost or self._stream.ended) else 0
         ending = 0 if self._stream.peer_ended else PEER_END
         return reading | ending | (WRITE if self._stream.unsent_bytes else 0)
 
@@ -411,7 +452,7 @@
             self.last_activity = self.clients.scheduler.polled_at
         try:
             self._parse_commands()
-            while self._stream.events and not self._must_not_read() and self._take_step():
+            while self._stream.has_input and not self._must_not_read() and self._take_step():
                 if not self._receive():
                     return
                 self._parse_commands()
@@ -425,12 +466,19 @@
     def _must_not_read(self) -> bool:
         """Return whether input has to wait, at least for the next turn.
 
-        A client that has closed resets the connection when an answer arrives, which the next poll tells.
+        A client that has closed resets the connection when an answer arrives, which the next poll tells. One
+        whose end may have been hidden for too long gets time to do so.
         """
-        may_be_reset = (
-            self._half_close_deadline is not None and self._answered_in_turn == self.clients.scheduler.turns
-        )
-        return may_be_reset or self._is_stopped()
+        if self._presence.has_ended and self._answered_in_turn == self.clients.scheduler.turns:
+            return True
+        return self._is_stopped() or self._is_held()
+
+    def _is_held(self) -> bool:
+        """Return whether input waits for an answer that tells whether the client is still there."""
+        presence = self._presence
+        if not presence.is_over or presence.has_ended:
+            return False
+        return bool(self.slots) or self._answered_at is not None
 
     def _take_step(self) -> bool:
         """Return whether one more read or command may be processed in this turn of the scheduler."""
@@ -528,8 +576,10 @@
     def _submit(self, slot: Slot, job: ClientRequest) -> None:
         """Pass a request to the module, or refuse it if there is no memory for its answer."""
         self._bad_in_row = 0
-        if self._half_close_over:
+        if self._presence.is_over and self._presence.has_ended:
             self.clients.module.fail_unstarted(slot)
+        elif self._presence.is_over:
+            self.clients.module.refuse_unseen(slot)
         elif self.clients.message_budget.expect_answer(len(self.slots)):
             slot.job = job
             self.clients.module.handle_request(job, slot, max(self.clients.scheduler.lag, self._waited))
@@ -545,4 +595,5 @@
             stream.flush()
         while slots and slots[0].pieces is not None:
             stream.write(slots.popleft().pieces)
+            self._note_answer()
         self._track_unsent()
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -225,6 +225,14 @@
         tells, a refusal would promise too much.
         """
         self.counters["no memory"] += 1
+        self._refuse_unstarted(ticket)
+
+    def refuse_unseen(self, ticket: Ticket) -> None:
+        """Answer a command whose client may have gone, since its end could be hidden behind unread input."""
+        self.counters["clients unseen"] += 1
+        self._refuse_unstarted(ticket)
+
+    def _refuse_unstarted(self, ticket: Ticket) -> None:
         if self.recall is not None:
             return ticket.failed()
         ticket.refused(self._retry_after_ms)
@@ -264,7 +272,7 @@
         fails now and is not sent any more.
         """
         request = self.open_requests.get(job.id)
-        if request is None or request.job is not job:
+        if request is None or request.job is not job or request.client_half_closed:
             return
         if any(attempt.written_at and not attempt.ended for attempt in request.attempts):
             request.client_half_closed = True
--- a/loftroute/runtime/memory.py
+++ b/loftroute/runtime/memory.py
@@ -19,6 +19,11 @@
     def __init__(self) -> None:
         self.used_bytes = self.peak_bytes = 0
 
+    def add(self, size: int) -> None:
+        """Count bytes that were taken, or given back if `size` is negative."""
+        self.used_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+
     def take_peak(self) -> int:
         """Return the most bytes in use since the previous call."""
         peak, self.peak_bytes = self.peak_bytes, self.used_bytes
@@ -34,8 +39,7 @@
         """Allocate `size` bytes; the size must not change afterwards."""
         super().__init__(size)
         self._account = account
-        account.used_bytes += size
-        account.peak_bytes = max(account.peak_bytes, account.used_bytes)
+        account.add(size)
 
     def __del__(self) -> None:
         self._account.used_bytes -= len(self)
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -15,9 +15,10 @@
 from loftroute.protocol import IncompleteMessageError, ProtocolError
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.memory import Chunk, MemoryAccount
+from loftroute.runtime.read_ahead import ReadAhead
 from loftroute.runtime.scheduler import ERROR_EVENTS, PEER_END, READ, WRITE, Scheduler, Task
 
-DISCARDED = memoryview(bytearray(1 << 16))  # receives data that is thrown away
+SCRATCH = memoryview(bytearray(1 << 16))  # receives data that is thrown away or copied at once
 
 Message = TypeVar("Message")
 Parser = Callable[[bytearray, int, int], tuple[Message, int]]
@@ -135,6 +136,8 @@
     """
 
     __slots__ = (
+        "_ahead",
+        "_is_read_to_end",
         "_mask",
         "_scheduler",
         "_send_queue",
@@ -163,6 +166,8 @@
         self.events = READ  # data may have arrived before the first poll
         self.task: Task | None = None
         self._mask: int | None = None
+        self._ahead: ReadAhead | None = None
+        self._is_read_to_end = False  # the socket has nothing more, what was read ahead may be left
 
     @classmethod
     def dial(
@@ -206,11 +211,16 @@
     def read(self) -> bool:
         """Read once into the buffer without waiting; return whether any data was read.
 
-        Does not touch the socket unless poll has reported an event since everything was read.
+        What was read ahead comes first. Does not touch the socket unless poll has reported an event since
+        everything was read.
         """
-        if not self.events or self.closed or self.ended:
+        if not self.has_input or self.closed or self.ended:
             return False
         space = self.buffer.free_space()
+        if self._ahead:
+            self.buffer.end += self._ahead.take_into(space)
+            self.ended = self._is_read_to_end and not self._ahead
+            return True
         count = self._receive(space)
         if not count:
             return False
@@ -219,6 +229,28 @@
         self.buffer.end += count
         return True
 
+    @property
+    def has_input(self) -> bool:
+        """Whether there may be something to read: poll has reported an event, or input was read ahead."""
+        return bool(self.events or self._ahead)
+
+    @property
+    def bytes_ahead(self) -> int:
+        """Bytes that were read ahead and not moved to the buffer yet."""
+        return len(self._ahead) if self._ahead is not None else 0
+
+    def read_ahead(self, max_bytes: int) -> None:
+        """Read once without waiting, and keep the data, at most `max_bytes` in all, for later reads."""
+        room = min(max_bytes - self.bytes_ahead, len(SCRATCH))
+        if not self.events or room <= 0 or self.closed or self._is_read_to_end:
+            return
+        if self._ahead is None:
+            self._ahead = ReadAhead(self._scheduler.message_memory)
+        count = self._receive(SCRATCH[:room])
+        if 0 < count < room and not self.events & ERROR_EVENTS:
+            self.events = 0
+        self._ahead.append(SCRATCH[:count])
+
     def _receive(self, space: memoryview) -> int:
         """Return how many bytes were read: 0 if none are available or the peer has ended its side."""
         try:
@@ -229,7 +261,8 @@
         except OSError:
             count, self.broken = 0, True
         if not count:
-            self.peer_ended = self.ended = True
+            self.peer_ended = self._is_read_to_end = True
+            self.ended = self.broken or not self._ahead
         return count
 
     def is_stale(self) -> bool:
@@ -251,7 +284,7 @@
     def discard_input(self) -> int:
         """Read once, discard the data, and return how many bytes it was."""
         self.events = 0
-        return self._receive(DISCARDED)
+        return self._receive(SCRATCH)
 
     def write(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Send as much as the system accepts now and queue the rest.
@@ -375,6 +408,8 @@
             self.closed = True
             self._scheduler.unwatch(self.fd)
             self._sock.close()
+            if self._ahead:
+                self._ahead.clear()
             self.task = None
             self._send_queue.clear()
             self.unsent_bytes = 0
