Start nothing later than 75 ms after a client's half-close: 150 was over the protocol's limit

Reason for the value: 100 ms of the protocol, less the way of the end and of the attempt and one turn. The new test sends at 95 ms without the change (1 request) and nothing with it.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -355,8 +355,9 @@
     kill_delay_ns: int = 700_000_000
     # Everything still open is answered this long before the SIGKILL.
     kill_reserve_ns: int = 250_000_000
-    # Time after a client's half-close in which its pending requests may still be started.
-    half_close_grace_ns: int = 150_000_000
+    # Time after a client's half-close in which its pending requests may still be started. The protocol allows
+    # 100 ms, counted where the attempt arrives; the rest is for the way of both and for one turn.
+    half_close_grace_ns: int = 75_000_000
 
     @property
     def bytes_per_connection(self) -> int:
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -220,6 +220,24 @@
     assert received == 70 * value(b"V")
 
 
+def test_a_request_that_no_unit_could_take_is_not_started_a_tenth_of_a_second_after_its_client_closed(world):
+    """Guards against a grace for half-closing clients that is longer than the protocol's limit."""
+    cluster = world()
+    cluster.tell(generation=2, u0="DRAINING")
+    client = cluster.client()
+    cluster.until(lambda: cluster.relay.clients.connections)
+    client.sendall(ask(kind="pay"))
+    client.close()
+    cluster.clients.remove(client)
+    cluster.turn(3)
+    assert len(cluster.relay.module.open_requests) == 1
+    cluster.step(95)
+    cluster.tell(generation=3)  # now a unit is available
+    for _ in range(10):
+        cluster.step(5)
+    assert cluster.units["u0"].asks() == 0 and cluster.relay.module.open_requests == {}
+
+
 def send_more_than_buffers_hold(cluster, client, commands):
     """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
     data, sent, stuck = b"".join(commands), 0, 0
