--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -203,7 +203,7 @@
 
     def _awaits_answers(self) -> bool:
         """Return whether a client that has half-closed, and sends nothing more, is still owed answers."""
-        if self._framing_lost or self.clients.module.recall is not None:
+        if self.clients.module.recall is not None:
             return False
         self._track_presence()
         return bool(self.slots or self._stream.unsent_bytes) and not self._stream.broken
@@ -216,7 +216,7 @@
         poll as the end, or in the one before, and those still unread may be started for a short time.
         """
         presence, scheduler = self._presence, self.clients.scheduler
-        if self._framing_lost or self.clients.module.recall is not None:
+        if self.clients.module.recall is not None:
             return
         if self._stream.peer_ended and not presence.has_ended:
             # The end may have arrived at any time since the last poll.
@@ -247,10 +247,10 @@
     def _look_for_end(self) -> int:
         """Read on to see the client's end, if it has requests open; return the poll events to wait for."""
         stream, presence = self._stream, self._presence
-        if self._framing_lost or self.clients.module.recall is not None:
+        if self.clients.module.recall is not None:
             return self._poll_mask()
-        if self.slots and stream.events and self._may_read_ahead():
-            stream.read_ahead(self._transport.max_read_ahead_bytes)
+        if self.slots and stream.events:
+            self._read_on()
             if stream.peer_ended:
                 self._track_presence()
         mask = self._poll_mask()
@@ -261,6 +261,13 @@
             presence.input_unread(self.clients.scheduler.polled_at - self.clients.scheduler.lag)
         return mask
 
+    def _read_on(self) -> None:
+        """Read once beyond what is processed; what comes after a protocol error is of no use."""
+        if self._framing_lost:
+            self._stream.discard_input()
+        elif self._may_read_ahead():
+            self._stream.read_ahead(self._transport.max_read_ahead_bytes)
+
     def _may_read_ahead(self) -> bool:
         return (
             self._stream.bytes_ahead < self._transport.max_read_ahead_bytes
@@ -429,9 +436,13 @@
 
     def _poll_mask(self) -> int:
         """Return the poll events to wait for."""
-        is_processing = not (self._is_full() or self._is_held() or self._paused_until)
-        may_read = is_processing or (self.slots and self._may_read_ahead())
-        reading = READ if may_read and not (self._framing_lost or self._stream.ended) else 0
+        if self._framing_lost:
+            may_read = bool(self.slots)
+        elif self._is_full() or self._is_held() or self._paused_until:
+            may_read = bool(self.slots) and self._may_read_ahead()
+        else:
+            may_read = True
+        reading = READ if may_read and not self._stream.ended else 0
         ending = 0 if self._stream.peer_ended else PEER_END
         return reading | ending | (WRITE if self._stream.unsent_bytes else 0)
 
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -283,8 +283,10 @@
 
     def discard_input(self) -> int:
         """Read once, discard the data, and return how many bytes it was."""
-        self.events = 0
-        return self._receive(SCRATCH)
+        count = self._receive(SCRATCH)
+        if count < len(SCRATCH):
+            self.events = 0
+        return count
 
     def write(self, pieces: Iterable[bytes | memoryview]) -> None:
         """Send as much as the system accepts now and queue the rest.
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -4,7 +4,7 @@
 
 from loftroute.lab.standins import command
 from loftroute.relay.closed_requests import ClosedRequests
-from tests.stepped import MS, ask, got, reset, served, value
+from tests.stepped import MS, ask, got, reset, served, served_at, value
 
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
 
@@ -238,6 +238,42 @@
     assert cluster.units["u0"].asks() == 0 and cluster.relay.module.open_requests == {}
 
 
+@pytest.mark.parametrize("behind", [b"?\r\n", b"?\r\n" + b"y" * 1_000_000])
+def test_no_attempt_is_begun_for_a_client_that_closed_after_it_broke_the_framing(world, behind):
+    """Guards against attempts for a client whose end is not looked for, since what it sends can't be read."""
+    cluster = world(units=2)
+    client = cluster.client()
+    send_more_than_buffers_hold(cluster, client, [ask("key0", kind="pay"), ask("key1", kind="pay"), behind])
+    cluster.until(lambda: sum(unit.asks() for unit in cluster.units.values()) == 2)
+    client.close()
+    cluster.clients.remove(client)
+    for _ in range(10):
+        cluster.step(15)
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            if b"key1" in heard:
+                peer.sendall(b"-BUSY\r\n")
+    for _ in range(6):
+        cluster.step(20)
+    assert sum(unit.asks() for unit in cluster.units.values()) == 2
+
+
+def test_a_client_that_half_closed_after_it_broke_the_framing_gets_its_answer(world):
+    """Guards against a request that is read and gets no answer, because of what came behind it."""
+    cluster = world()
+    client = cluster.client()
+    client.sendall(ask("key0") + b"?\r\n")
+    client.shutdown(1)
+    cluster.turn(4)
+    cluster.step(200)
+    served_at(cluster, b"key0")
+    received = b""
+    for _ in range(10):
+        cluster.step(5, 1)
+        received += got(client)
+    assert received.startswith(value(b"V") + b"-ERR") and received.count(b"-ERR") == 1
+
+
 def send_more_than_buffers_hold(cluster, client, commands):
     """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
     data, sent, stuck = b"".join(commands), 0, 0
