Fail the open requests of a connection whose framing broke before it is closed

They now get '-ERR failed' in their order ahead of the protocol error, and the connection ends by its usual way (linger), so that both arrive. The new test got nothing before.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -399,12 +399,16 @@
 
     def evict(self) -> None:
         """Close the connection to make room: fail its open requests and send the errors if possible."""
+        self._fail_open_requests()
+        self.close(CloseReason.EVICTED)
+
+    def _fail_open_requests(self) -> None:
+        """Answer the open requests with an error, and send the answers that the system takes at once."""
         for slot in self.slots:
             if slot.job:
                 slot.abandon()
                 slot.pieces = resp.error_reply("ERR failed")
         self._flush()
-        self.close(CloseReason.EVICTED)
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection from another task; its descriptor is free immediately."""
@@ -413,7 +417,13 @@
         self.clients.scheduler.cancel(self.task)
 
     def expire(self) -> None:
-        """Close an idle or stalled connection; a client that has sent an incomplete command gets an error."""
+        """Close an idle or stalled connection; a client that has sent an incomplete command gets an error.
+
+        Requests that are open before a protocol error fail now, ahead of the error.
+        """
+        if self._framing_lost and self.slots and not self._stream.unsent_bytes:
+            self._fail_open_requests()
+            return self.clients.scheduler.wake(self.task)
         if self._framing_lost or self._stream.unsent_bytes or not self._has_unprocessed_input:
             return self.close(CloseReason.FRAMING_LOST if self._framing_lost else CloseReason.IDLE)
         self.clients.half_commands += 1
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -274,6 +274,19 @@
     assert received.startswith(value(b"V") + b"-ERR") and received.count(b"-ERR") == 1
 
 
+def test_an_open_request_gets_its_final_answer_before_a_broken_connection_is_closed(world):
+    """Guards against a request that is read and gets no answer, since what came behind it can't be read."""
+    cluster = world()
+    client = cluster.client()
+    client.sendall(ask("key0", kind="pay") + b"?\r\n")
+    received = b""
+    for _ in range(30):
+        cluster.step(100, 2)
+        received += got(client)
+    assert received.startswith(b"-ERR failed\r\n-ERR") and received.count(b"-ERR") == 2
+    assert not cluster.relay.clients.connections
+
+
 def send_more_than_buffers_hold(cluster, client, commands):
     """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
     data, sent, stuck = b"".join(commands), 0, 0
