Count the wait behind open commands in the time that units are told

Cause: a request's time was counted from when it was processed; what was known of its wait was only the last turn's lag. Tests: 1,990 ms told where 1,500 were left, in the buffer and read ahead, fail before and pass now.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -6,6 +6,7 @@
 from loftroute import invariants
 from loftroute.protocol import ProtocolError, jobs, resp
 from loftroute.protocol.jobs import AttemptResult, BadRequestError, ClientRequest
+from loftroute.relay.arrival_times import ArrivalTimes
 from loftroute.relay.client_presence import ClientPresence
 from loftroute.relay.input_allowance import ConnectionShare
 from loftroute.relay.request_log import CloseReason
@@ -93,6 +94,7 @@
         self._has_large_chunk = False  # for the command that is partly read
         self._share = ConnectionShare()
         self._has_unparsed_input = False  # there is input whose turn has not come
+        self._arrivals = ArrivalTimes(self._transport.network_margin_ns)
         self._presence = ClientPresence(self._transport.half_close_grace_ns)
         self._answered_in_turn = 0  # the scheduler's turn in which an answer was written last
         self._answered_at: int | None = None  # when one was, if its client's system may yet reset it
@@ -190,6 +192,8 @@
                         return self._close_gracefully()
                     continue
                 mask = self._look_for_end()
+                if stream.buffer.end > stream.buffer.start:
+                    self._note_arrivals()
                 if self._has_unparsed_input and not (self._is_stopped() or self._is_held()):
                     self.clients.scheduler.wake_next_turn(self.task)
                 stream.wait(self._next_wakeup(), mask)
@@ -230,6 +234,21 @@
         if presence.is_in_doubt and presence.check(scheduler.clock.now()):
             self._report_half_close(scheduler.turns + 1)
 
+    def _note_arrivals(self) -> None:
+        """Note when the bytes came that are left to be processed, as early as may be."""
+        scheduler = self.clients.scheduler
+        self._arrivals.note(self._stream.bytes_received, scheduler.polled_at - scheduler.lag)
+
+    def _unread_time(self) -> int:
+        """Return for how long the command that was parsed last may have waited, from its last byte on."""
+        waited = max(self.clients.scheduler.lag, self._waited)
+        if not self._arrivals:
+            return waited
+        arrived_at = self._arrivals.arrival_of(self._stream.bytes_received - self.partly_read)
+        if arrived_at is None:
+            return waited
+        return max(waited, self.clients.scheduler.clock.now() - arrived_at)
+
     def _note_answer(self) -> None:
         """Note that an answer was passed to the system, if that may tell whether the client is there."""
         if self._presence.is_in_doubt and not self._stream.unsent_bytes:
@@ -603,7 +622,7 @@
             self.clients.module.refuse_unseen(slot)
         elif self.clients.message_budget.expect_answer(len(self.slots)):
             slot.job = job
-            self.clients.module.handle_request(job, slot, max(self.clients.scheduler.lag, self._waited))
+            self.clients.module.handle_request(job, slot, self._unread_time())
         else:
             self.clients.module.refuse_for_memory(slot)
 
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -125,6 +125,7 @@
 
     Attributes:
         buffer: what was read and not parsed yet.
+        bytes_received: number of bytes that were read so far, ahead or not, and not discarded.
         unsent_bytes: bytes that were written and that the system has not accepted yet.
         peer_ended: whether the peer is known to have shut down its side; unread data may be left. Only a task
             that waits for `PEER_END` learns of it before all data is read.
@@ -144,6 +145,7 @@
         "_sock",
         "broken",
         "buffer",
+        "bytes_received",
         "closed",
         "ended",
         "events",
@@ -158,7 +160,7 @@
         self.fd = sock.fileno()
         self.buffer = Buffer(chunk, limit, scheduler.message_memory)
         self._send_queue: deque[memoryview | bytearray] = deque()
-        self.unsent_bytes = 0
+        self.unsent_bytes = self.bytes_received = 0
         self.peer_ended = False
         self.ended = False
         self.broken = False
@@ -227,6 +229,7 @@
         if count < len(space) and not self.events & ERROR_EVENTS:
             self.events = 0  # everything available was read; poll reports more
         self.buffer.end += count
+        self.bytes_received += count
         return True
 
     @property
@@ -250,6 +253,7 @@
         if 0 < count < room and not self.events & ERROR_EVENTS:
             self.events = 0
         self._ahead.append(SCRATCH[:count])
+        self.bytes_received += count
 
     def _receive(self, space: memoryview) -> int:
         """Return how many bytes were read: 0 if none are available or the peer has ended its side."""
--- /dev/null
+++ b/tests/test_arrival_times.py
@@ -0,0 +1,57 @@
+"""When waiting commands arrived, and what units are told of the time that is left."""
+
+import re
+
+import pytest
+
+from loftroute.relay.arrival_times import ArrivalTimes
+from tests.stepped import ask
+from tests.test_clients_that_left import answer_all, warm_up
+
+D = re.compile(rb",d=(\d+)")
+
+
+def test_a_byte_arrived_by_the_first_note_that_covers_it():
+    arrivals = ArrivalTimes(resolution_ns=10)
+    arrivals.note(100, 1000)
+    arrivals.note(100, 1500)
+    arrivals.note(300, 2000)
+    assert [arrivals.arrival_of(offset) for offset in (1, 100, 101, 300, 301)] == [
+        1000,
+        1000,
+        2000,
+        2000,
+        None,
+    ]
+    assert len(arrivals) == 0
+
+
+def test_notes_close_together_count_as_the_first():
+    arrivals = ArrivalTimes(resolution_ns=10)
+    for n in range(10_000):
+        arrivals.note(n + 1, 1000 + n)
+    assert len(arrivals) == 1000
+    assert arrivals.arrival_of(9) == 1000 and arrivals.arrival_of(10_000) == 10_990
+
+
+@pytest.mark.parametrize("in_buffer", [True, False])
+def test_a_request_that_waited_behind_others_tells_its_unit_the_time_that_is_left(world, in_buffer):
+    """Guards against time limits that count from when a waiting command was processed."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client = cluster.client()
+    count = 70 if in_buffer else 400  # 70 commands and more are in the buffer, the rest is read ahead
+    client.sendall(b"".join(ask(f"key{n}", d=2000) for n in range(count)))
+    cluster.turn(30)
+    assert sum(unit.asks() for unit in cluster.units.values()) == 64
+    for _ in range(10):
+        cluster.step(50, 1)
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            unit.heard[peer] = b""
+            if heard:
+                peer.sendall(b"*3\r\n$1\r\nV\r\n$-1\r\n$-1\r\n")
+    cluster.turn(40)
+    told = [int(ms) for unit in cluster.units.values() for ms in D.findall(b"".join(unit.heard.values()))]
+    assert told and max(told) <= 1500
+    answer_all(cluster)
