With records, end a client's requests when its end is known behind 64 open commands

The end is now looked for with records too; once it is known and no command can be processed the connection ends, as it did for fewer commands.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -192,6 +192,9 @@
                         return self._close_gracefully()
                     continue
                 mask = self._look_for_end()
+                if self._has_left_with_records():
+                    self._close_reason = CloseReason.CLIENT_ENDED
+                    return
                 if stream.buffer.end > stream.buffer.start:
                     self._note_arrivals()
                 if self._has_unparsed_input and not (self._is_stopped() or self._is_held()):
@@ -220,9 +223,7 @@
         poll as the end, or in the one before, and those still unread may be started for a short time.
         """
         presence, scheduler = self._presence, self.clients.scheduler
-        if self.clients.module.recall is not None:
-            return
-        if self._stream.peer_ended and not presence.has_ended:
+        if self._stream.peer_ended and not presence.has_ended and self.clients.module.recall is None:
             # The end may have arrived at any time since the last poll.
             presence.end_seen(scheduler.clock.now() - max(scheduler.lag, self._waited))
             self._log_end_seen()
@@ -266,8 +267,6 @@
     def _look_for_end(self) -> int:
         """Read on to see the client's end, if it has requests open; return the poll events to wait for."""
         stream, presence = self._stream, self._presence
-        if self.clients.module.recall is not None:
-            return self._poll_mask()
         if self.slots and stream.events:
             self._read_on()
             if stream.peer_ended:
@@ -280,6 +279,14 @@
             presence.input_unread(self.clients.scheduler.polled_at - self.clients.scheduler.lag)
         return mask
 
+    def _has_left_with_records(self) -> bool:
+        """Return whether the client has ended its side while requests are recorded and no more can be read.
+
+        With records a client that has ended its side counts as gone: it asks again for its answers.
+        """
+        has_records = self.clients.module.recall is not None
+        return has_records and self._stream.peer_ended and self._is_stopped()
+
     def _read_on(self) -> None:
         """Read once beyond what is processed; what comes after a protocol error is of no use."""
         if self._framing_lost:
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -287,6 +287,50 @@
     assert not cluster.relay.clients.connections
 
 
+class RecallThatRecordsNothing:
+    """Stand-in for the records of requests: admits and sends everything at once."""
+
+    def __init__(self, module):
+        self._module = module
+        self.gone = 0
+
+    def handle_call(self, job, ticket, waited):
+        self._module.admit(job, ticket, waited)
+
+    def record_intent(self, attempt):
+        self._module.send_after_intent(attempt)
+
+    def record_outcome(self, attempt, result):
+        pass
+
+    def client_gone(self, job):
+        self.gone += 1
+
+
+@pytest.mark.parametrize("body", [10, 20_000])
+def test_with_records_no_attempt_is_begun_for_a_client_that_closed_behind_64_open_commands(world, body):
+    """Guards against attempts for clients that have left, with recall enabled."""
+    cluster = world(units=8)
+    recall = cluster.relay.module.recall = RecallThatRecordsNothing(cluster.relay.module)
+    warm_up(cluster)
+    client = cluster.client()
+    data = [ask(f"key{n}", kind="pay") + b"$%d\r\n" % body + b"B" * body + b"\r\n" for n in range(300)]
+    send_more_than_buffers_hold(cluster, client, [command.replace(b"*4", b"*5", 1) for command in data])
+    assert sum(unit.asks() for unit in cluster.units.values()) == 64
+    client.close()
+    cluster.clients.remove(client)
+    for _ in range(10):
+        cluster.step(25)
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            if heard and b"key0\r\n" not in heard:
+                peer.sendall(b"-BUSY\r\n")
+    for _ in range(8):
+        cluster.step(20, 2)
+    assert sum(unit.asks() for unit in cluster.units.values()) == 64
+    assert recall.gone or body > 10
+
+
 def send_more_than_buffers_hold(cluster, client, commands):
     """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
     data, sent, stuck = b"".join(commands), 0, 0
