Plays judge memory too, with limits of 32 to 192 MB; input is read ahead while memory is free

Read-ahead is taken only while three quarters of the message memory are free: at half, six connections of a 32 MB relay could have brought all others to the limit of scarce memory (two open commands). Without room the client counts as possibly gone instead, which the plays at 32 MB reach.

--- a/loftroute/lab/departures/checker.py
+++ b/loftroute/lab/departures/checker.py
@@ -41,6 +41,9 @@
         found += _answers(request, attempts[request.id], history)
     if history.exit_status not in (None, 0) and history.killed_at is None:
         found.append(Violation("crash", f"the relay ended with status {history.exit_status}"))
+    if history.peak_memory_kb > history.memory_limit_kb:
+        text = f"{history.peak_memory_kb} kB where {history.memory_limit_kb} kB are allowed"
+        found.append(Violation("memory", text))
     return found
 
 
--- a/loftroute/lab/departures/history.py
+++ b/loftroute/lab/departures/history.py
@@ -61,6 +61,8 @@
         exit_status: of the relay; None if it still ran at the end, negative for the signal that ended it.
         killed_at: when the stand-in for the platform sent SIGKILL; None if it didn't.
         worst_lag_s: longest time for which the play itself was held up.
+        memory_limit_kb: what the relay was told that it may use.
+        peak_memory_kb: the most that it was seen to use (resident).
     """
 
     requests: dict[str, RequestRecord] = field(default_factory=dict)
@@ -69,3 +71,5 @@
     exit_status: int | None = None
     killed_at: float | None = None
     worst_lag_s: float = 0.0
+    memory_limit_kb: int = 0
+    peak_memory_kb: int = 0
--- a/loftroute/lab/departures/plan.py
+++ b/loftroute/lab/departures/plan.py
@@ -70,6 +70,7 @@
         usual_clients: connections that wait for each answer, used until the relay ends them.
         silent_clients: connections that send nothing.
         signals: what happens to the relay.
+        memory_mb: memory limit that the relay is told.
     """
 
     seed: int
@@ -82,6 +83,7 @@
     usual_clients: int
     silent_clients: int
     signals: tuple[Signal, ...]
+    memory_mb: int = 192
 
 
 def draw(seed: int, length_s: float = 6.0) -> Plan:
@@ -98,6 +100,7 @@
         usual_clients=rng.randint(4, 12),
         silent_clients=rng.choice([0, 0, 100, 300]),
         signals=_draw_signals(rng, length_s),
+        memory_mb=rng.choice([192, 192, 64, 32]),
     )
 
 
--- a/loftroute/lab/departures/play.py
+++ b/loftroute/lab/departures/play.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import re
 import signal
 import socket
 import tempfile
@@ -27,6 +28,8 @@
 KILL_AFTER_S = 3.0 + 0.7  # the earliest SIGKILL after SIGTERM: the longest deadline, at most 3 s, and 0.7 s
 SOCKETS = 1024  # descriptors of the relay
 MAX_SHOWN = 5  # violations shown of a play
+MEASURE_INTERVAL_S = 0.05
+PEAK_MEMORY = re.compile(r"VmHWM:\s+(\d+) kB")  # of /proc/PID/status
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +48,7 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self._plan, self._folder = plan, folder
         self._rng = random.Random(plan.seed)
-        self._loop, self._history = Loop(), History()
+        self._loop, self._history = Loop(), History(memory_limit_kb=plan.memory_mb << 10)
         self._units = {name: self._new_unit(name) for name in (f"u{n}" for n in range(plan.units))}
         self._usual: list[UsualClient] = []
         self._groups = [LeavingClient(g, self._loop, self._history, self._rng) for g in plan.groups]
@@ -64,7 +67,8 @@
 
     def run(self, env: dict[str, str] | None = None) -> Result:
         """Play to the end and return what was seen; `env` is added to the relay's environment."""
-        self._relay = Relay(self._folder, self._units, sockets=SOCKETS, env=env or {})
+        limits = {"memory_mb": self._plan.memory_mb}
+        self._relay = Relay(self._folder, self._units, sockets=SOCKETS, limits=limits, env=env or {})
         silent = [connect(self._relay.port) for _ in range(self._plan.silent_clients)]
         try:
             self._schedule()
@@ -85,6 +89,17 @@
         for event in plan.signals:
             loop.call_after(event.at_s, partial(self._signal, event))
         loop.call_after(plan.length_s, self._terminate)
+        self._measure_memory()
+
+    def _measure_memory(self) -> None:
+        """Note the most memory that the relay has used; runs periodically until it has ended."""
+        try:
+            status = Path(f"/proc/{self._relay.process.pid}/status").read_text()
+        except OSError:
+            return
+        if peak := PEAK_MEMORY.search(status):
+            self._history.peak_memory_kb = max(self._history.peak_memory_kb, int(peak[1]))
+            self._loop.call_after(MEASURE_INTERVAL_S, self._measure_memory)
 
     def _add_usual(self) -> None:
         self._usual.append(UsualClient(self._loop, self._history, self._rng, self._relay.port))
@@ -140,6 +155,7 @@
     return (
         f"seed {result.plan.seed}: {verdict}, {len(history.requests)} requests, {left} of them left, "
         f"{len(history.attempts)} attempts, violations {dict(rules) or 'none'}, "
+        f"memory {history.peak_memory_kb >> 10} of {result.plan.memory_mb} MB, "
         f"lag of the play {history.worst_lag_s * 1000:.0f} ms"
     )
 
--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -250,7 +250,7 @@
     def _may_read_ahead(self) -> bool:
         return (
             self._stream.bytes_ahead < self._transport.max_read_ahead_bytes
-            and not self.clients.message_budget.is_scarce
+            and self.clients.message_budget.may_read_ahead
         )
 
     def _log_end_seen(self) -> None:
--- a/loftroute/relay/message_budget.py
+++ b/loftroute/relay/message_budget.py
@@ -63,7 +63,8 @@
         own. Answers wait there for those of earlier commands, so that a few connections could take all of the
         memory; once half of it is in use, each is limited to a few commands.
         """
-        if self.is_scarce and outstanding > self._transport.max_pipelined_if_scarce:
+        is_scarce = self._account.used_bytes > self.limit_bytes // 2
+        if is_scarce and outstanding > self._transport.max_pipelined_if_scarce:
             return False
         if self._free_bytes() < resp.VALUE_LIMIT:
             return False
@@ -71,9 +72,9 @@
         return True
 
     @property
-    def is_scarce(self) -> bool:
-        """Whether half of the memory is in use."""
-        return self._account.used_bytes > self.limit_bytes // 2
+    def may_read_ahead(self) -> bool:
+        """Whether input may be read that can't be processed yet: only while most of the memory is free."""
+        return self._account.used_bytes < self.limit_bytes // 4
 
     def answer_ended(self) -> None:
         """Note that the answer of a request has come, or is not wanted any more."""
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,7 +4,7 @@
 
 from loftroute.lab.departures.checker import check, is_void
 from loftroute.lab.departures.history import AttemptRecord, History, RequestRecord
-from loftroute.lab.departures.plan import Group, Leave, Plan
+from loftroute.lab.departures.plan import Group, Leave, Plan, draw
 from loftroute.lab.departures.play import play
 
 
@@ -76,3 +76,17 @@
 
 def test_the_checker_reports_a_relay_that_crashed():
     assert [violation.rule for violation in check(History(exit_status=1))] == ["crash"]
+
+
+def test_the_checker_reports_a_relay_over_its_memory_limit():
+    history = History(exit_status=0, memory_limit_kb=32_768, peak_memory_kb=32_769)
+    assert [violation.rule for violation in check(history)] == ["memory"]
+
+
+@pytest.mark.parametrize("seed", [1, 3, 4, 7, 9, 12])
+def test_a_seeded_play_of_clients_that_leave_breaks_no_rule(seed):
+    """Plays crowds, signals in series and clients that go on until the kill; 3 s each in CI."""
+    result = play(draw(seed, length_s=3.0))
+    assert not is_void(result.history), result.history.worst_lag_s
+    assert result.violations == []
+    assert len(result.history.attempts) > 20
