An emptied socket is no proof while the window was full; count what the system kept unread

Input read ahead while the buffer was empty got no note of its time. And a socket emptied behind a full receive window counted as read to its end, though the rest was only on its way: what came then counted as new, and the doubt whether the client was there began anew.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -312,6 +312,9 @@
     # Input per client connection that is read, but not processed, while no more commands may be open. The end
     # of a client that has more unread than this and what the systems buffer can't be seen.
     max_read_ahead_bytes: int = 1 << 18
+    # A client connection whose input was left unread has been read to its end once no more than this has come
+    # within the network margin; a system that holds data back sends more.
+    max_settled_bytes: int = 1 << 15
     # Unanswered commands per client connection while half of the memory for messages is in use.
     max_pipelined_if_scarce: int = 2
     # Unsent bytes per client connection before reading stops.
--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -47,8 +47,8 @@
         self._has_large_chunk = False  # for the command that is partly read
         self._share = ConnectionShare()
         self._has_unparsed_input = False  # there is input whose turn has not come
-        self._arrivals = ArrivalTimes(self._transport.network_margin_ns)
-        self._presence = ClientPresence(self._transport.half_close_grace_ns)
+        self._arrivals: ArrivalTimes | None = None  # once input had to wait
+        self._presence = ClientPresence(self._transport)
         self._answered_in_turn = 0  # the scheduler's turn in which an answer was written last
         self._answered_at: int | None = None  # when one was, if its client's system may yet reset it
         self._unsent_since: int | None = None  # since when an answer is partly written
@@ -144,11 +144,13 @@
                         self._close_reason = CloseReason.SHUTDOWN
                         return self._close_gracefully()
                     continue
-                mask = self._look_for_end()
-                if self._has_left_with_records():
+                mask = self._poll_mask()
+                if stream.events or self._presence.is_in_doubt or not mask & READ:
+                    mask = self._look_for_end()
+                if stream.peer_ended and self._has_left_with_records():
                     self._close_reason = CloseReason.CLIENT_ENDED
                     return
-                if stream.buffer.end > stream.buffer.start:
+                if stream.buffer.end > stream.buffer.start or stream.bytes_ahead:
                     self._note_arrivals()
                 if self._has_unparsed_input and not (self._is_stopped() or self._is_held()):
                     self.clients.scheduler.wake_next_turn(self.task)
@@ -190,22 +192,24 @@
 
     def _note_arrivals(self) -> None:
         """Note when the bytes came that are left to be processed, as early as may be."""
-        scheduler = self.clients.scheduler
-        self._arrivals.note(self._stream.bytes_received, scheduler.polled_at - scheduler.lag)
+        if self._arrivals is None:
+            self._arrivals = ArrivalTimes(self._transport.network_margin_ns)
+        scheduler, unread_since = self.clients.scheduler, self._presence.unread_since
+        arrived_at = scheduler.polled_at - scheduler.lag if unread_since is None else unread_since
+        self._arrivals.note(self._stream.bytes_received, arrived_at)
 
     def _unread_time(self) -> int:
         """Return for how long the command that was parsed last may have waited, from its last byte on."""
-        waited = max(self.clients.scheduler.lag, self._waited)
-        if not self._arrivals:
-            return waited
-        arrived_at = self._arrivals.arrival_of(self._stream.bytes_received - self.partly_read)
-        if arrived_at is None:
-            return waited
-        return max(waited, self.clients.scheduler.clock.now() - arrived_at)
+        waited, arrived_at = max(self.clients.scheduler.lag, self._waited), self._presence.unread_since
+        if self._arrivals:
+            offset = self._stream.bytes_received - self.partly_read
+            noted_at = self._arrivals.arrival_of(offset)
+            arrived_at = arrived_at if noted_at is None else noted_at
+        return waited if arrived_at is None else max(waited, self.clients.scheduler.clock.now() - arrived_at)
 
     def _note_answer(self) -> None:
-        """Note that an answer was passed to the system, if that may tell whether the client is there."""
-        if self._presence.is_in_doubt and not self._stream.unsent_bytes:
+        """Note that an answer was passed to the system, which may tell whether the client is there."""
+        if not self._stream.unsent_bytes:
             self._answered_at = self.clients.scheduler.clock.now()
 
     def _proof_at(self) -> int | None:
@@ -227,18 +231,18 @@
         mask = self._poll_mask()
         if mask & READ and not stream.events & READ:
             if presence.is_in_doubt:
-                presence.input_drained()
+                self._note_arrivals()  # what was read just now may have waited for as long as any
+                presence.input_drained(self.clients.scheduler.polled_at, stream.bytes_received)
         elif self.slots or self._skipper is not None:  # else the last answer would have been reset
             presence.input_unread(self.clients.scheduler.polled_at - self.clients.scheduler.lag)
         return mask
 
     def _has_left_with_records(self) -> bool:
-        """Return whether the client has ended its side while requests are recorded and no more can be read.
+        """Return whether a client that has ended its side is dropped, since no more can be processed.
 
         With records a client that has ended its side counts as gone: it asks again for its answers.
         """
-        has_records = self.clients.module.recall is not None
-        return has_records and self._stream.peer_ended and self._is_stopped()
+        return self.clients.module.recall is not None and self._is_stopped()
 
     def _read_on(self) -> None:
         """Read once beyond what is processed; what comes after a protocol error is of no use."""
@@ -328,7 +332,8 @@
             return
         self.slots.popleft()
         stream.write(slot.pieces)
-        self._note_answer()
+        if self._presence.is_in_doubt:
+            self._note_answer()
         self._track_unsent()
         if not self._framing_lost:
             self.last_activity = self.clients.scheduler.polled_at
@@ -469,7 +474,10 @@
         A client that has closed resets the connection when an answer arrives, which the next poll tells. One
         whose end may have been hidden for too long gets time to do so.
         """
-        if self._presence.has_ended and self._answered_in_turn == self.clients.scheduler.turns:
+        presence = self._presence
+        if not presence.is_in_doubt:
+            return self._is_stopped()
+        if presence.has_ended and self._answered_in_turn == self.clients.scheduler.turns:
             return True
         return self._is_stopped() or self._is_held()
 
@@ -595,5 +603,6 @@
             stream.flush()
         while slots and slots[0].pieces is not None:
             stream.write(slots.popleft().pieces)
-            self._note_answer()
+            if self._presence.is_in_doubt:
+                self._note_answer()
         self._track_unsent()
--- a/loftroute/relay/client_presence.py
+++ b/loftroute/relay/client_presence.py
@@ -3,25 +3,42 @@
 A client that closes its connection has gone, and nothing may be started for it a moment later. The relay
 learns of it in one of two ways: the end of the client's sending side arrives, or a write is answered by a
 reset. While input stays unread the end can't arrive once the receive window is full, so the client may have
-gone at any time since the input was last read completely. All times are nanoseconds.
+gone at any time since the input was last read completely.
+
+A socket that was just emptied proves nothing if its window was full: what the client's system held back is on
+its way then. All is read once little has come for a while. All times are nanoseconds.
 """
 
+from loftroute.config import Transport
+
 
 class ClientPresence:
     """What is known of one client.
 
     Attributes:
         has_ended: the client is known to have ended its sending side; most clients that do so have closed.
+        is_in_doubt: the client may have gone, seen or not.
+        unread_since: since when input may have been left unread; None if all was read at the last look.
         is_over: no request may be started: the time for it after the client's end, seen or possible, is over.
     """
 
-    __slots__ = ("_grace_ns", "_start_until", "has_ended", "is_over")
+    __slots__ = (
+        "_drained_since",
+        "_start_until",
+        "_transport",
+        "has_ended",
+        "is_in_doubt",
+        "is_over",
+        "unread_since",
+    )
 
-    def __init__(self, grace_ns: int) -> None:
-        """Create the state of a client that is there; after its end requests are started for `grace_ns`."""
-        self._grace_ns = grace_ns
+    def __init__(self, transport: Transport) -> None:
+        """Create the state of a client that is there."""
+        self._transport = transport
+        self._drained_since: tuple[int, int] | None = None  # time, and bytes received by then
         self._start_until: int | None = None
-        self.has_ended = self.is_over = False
+        self.unread_since: int | None = None
+        self.has_ended = self.is_in_doubt = self.is_over = False
 
     def end_seen(self, arrived_at: int) -> None:
         """Note that the client's end is known, which arrived at this time or later."""
@@ -31,21 +48,31 @@
 
     def input_unread(self, since: int) -> None:
         """Note that input is left unread, so that an end may be hidden behind it since then."""
+        self._drained_since = None
+        if self.unread_since is None:
+            self.unread_since = since
         if self._start_until is None:
             self._limit_to(since)
 
-    def input_drained(self) -> None:
-        """Note that all input was read and no end was behind it."""
+    def input_drained(self, now: int, bytes_received: int) -> None:
+        """Note that all input was read that has arrived, and no end was behind it."""
+        most_bytes = self._transport.max_settled_bytes
+        if self._drained_since is None or bytes_received - self._drained_since[1] > most_bytes:
+            self._drained_since = now, bytes_received
+        if now < self._drained_since[0] + self._transport.network_margin_ns:
+            return
+        self._drained_since = self.unread_since = None
         if not self.has_ended:
-            self._start_until, self.is_over = None, False
+            self._start_until = None
+            self.is_in_doubt = self.is_over = False
 
     def was_there(self, at: int) -> None:
         """Note that the client was there at a time, though input is left unread: it took an answer."""
         if not self.has_ended and self._start_until is not None:
-            self._start_until, self.is_over = at + self._grace_ns, False
+            self._start_until, self.is_over = at + self._transport.half_close_grace_ns, False
 
     def _limit_to(self, gone_at: int) -> None:
-        until = gone_at + self._grace_ns
+        self.is_in_doubt, until = True, gone_at + self._transport.half_close_grace_ns
         self._start_until = until if self._start_until is None else min(self._start_until, until)
 
     def check(self, now: int) -> bool:
@@ -55,12 +82,12 @@
         self.is_over = True
         return True
 
-    @property
-    def is_in_doubt(self) -> bool:
-        """Whether the client may have gone, seen or not."""
-        return self._start_until is not None
-
     @property
     def next_check(self) -> int | None:
-        """Time at which `check` has to be called; None for never."""
-        return None if self.is_over else self._start_until
+        """Time at which the state has to be looked at again; None for never."""
+        settled_at = None
+        if self._drained_since:
+            settled_at = self._drained_since[0] + self._transport.network_margin_ns
+        if self.is_over or self._start_until is None:
+            return settled_at
+        return self._start_until if settled_at is None else min(self._start_until, settled_at)
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -336,7 +336,8 @@
             self._remove(job.id, served=True)
             is_open = False
             self.served += 1
-            self._log_end(job.id, "served")
+            if self.request_log:
+                self.request_log.ended(job.id, "served")
             request.ticket.served(result)
         if is_open and request.client_half_closed and all(other.ended for other in request.attempts):
             self._remove(job.id)
--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -6,7 +6,7 @@
 
 from loftroute.relay.arrival_times import ArrivalTimes
 from tests.stepped import ask
-from tests.test_clients_that_left import answer_all, warm_up
+from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold, warm_up
 
 D = re.compile(rb",d=(\d+)")
 
@@ -55,3 +55,25 @@
     told = [int(ms) for unit in cluster.units.values() for ms in D.findall(b"".join(unit.heard.values()))]
     assert told and max(told) <= 1500
     answer_all(cluster)
+
+
+def test_what_the_system_kept_unread_counts_from_when_all_was_read_last(world):
+    """Guards against time limits that count from when a command was read, beyond what is read ahead."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client = cluster.client()
+    data = [ask(f"key{n}", kind="pay", d=2000) + b"$4000\r\n" + b"B" * 4000 + b"\r\n" for n in range(300)]
+    send_more_than_buffers_hold(cluster, client, [command.replace(b"*4", b"*5", 1) for command in data])
+    for _ in range(10):
+        cluster.step(50, 1)
+    told = []
+    for _ in range(60):
+        for unit in cluster.units.values():
+            for peer, heard in list(unit.heard.items()):
+                if heard:
+                    told += [(len(told), int(ms)) for ms in D.findall(heard)]
+                    unit.heard[peer] = b""
+                    peer.sendall(b"*3\r\n$1\r\nV\r\n$-1\r\n$-1\r\n")
+        cluster.step(5)
+    later = [ms for n, ms in told if n >= 64]
+    assert len(later) > 64 and max(later) <= 1500
--- a/tests/test_client_presence.py
+++ b/tests/test_client_presence.py
@@ -2,17 +2,18 @@
 
 import pytest
 
+from loftroute.config import Transport
 from loftroute.relay.client_presence import ClientPresence
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.read_ahead import ReadAhead
 from tests.stepped import ask, got
 from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold
 
-GRACE = 100
+TRANSPORT = Transport(half_close_grace_ns=100, network_margin_ns=10)
 
 
 def test_requests_may_be_started_for_a_while_after_the_end_was_seen():
-    presence = ClientPresence(GRACE)
+    presence = ClientPresence(TRANSPORT)
     presence.end_seen(1000)
     assert presence.next_check == 1100 and not presence.check(1099)
     assert presence.check(1100) and presence.is_over
@@ -20,24 +21,28 @@
 
 
 def test_unread_input_counts_from_when_all_was_read_last():
-    presence = ClientPresence(GRACE)
+    presence = ClientPresence(TRANSPORT)
     presence.input_unread(1000)
     presence.input_unread(1050)
     assert presence.check(1100)
-    presence.input_drained()
-    assert not presence.is_over and presence.next_check is None
+    assert presence.unread_since == 1000
+    presence.input_drained(1200, 5000)
+    assert presence.is_over and presence.unread_since == 1000
+    presence.input_drained(1210, 5100)
+    assert not presence.is_over and presence.next_check is None and presence.unread_since is None
 
 
 def test_an_end_seen_behind_unread_input_counts_from_when_all_was_read_last():
-    presence = ClientPresence(GRACE)
+    presence = ClientPresence(TRANSPORT)
     presence.input_unread(1000)
     presence.end_seen(1090)
-    presence.input_drained()
+    presence.input_drained(1090, 1)
+    presence.input_drained(1099, 1)
     assert presence.check(1100) and presence.has_ended
 
 
 def test_a_client_that_took_an_answer_was_there():
-    presence = ClientPresence(GRACE)
+    presence = ClientPresence(TRANSPORT)
     presence.input_unread(1000)
     assert presence.check(1100)
     presence.was_there(1150)
@@ -45,14 +50,30 @@
 
 
 def test_no_answer_brings_a_client_back_that_has_ended():
-    presence = ClientPresence(GRACE)
+    presence = ClientPresence(TRANSPORT)
     presence.end_seen(1000)
     assert presence.check(1100)
     presence.was_there(1150)
-    presence.input_drained()
+    presence.input_drained(1150, 1)
+    presence.input_drained(1160, 1)
     assert presence.is_over
 
 
+def test_a_socket_that_is_emptied_again_and_again_is_not_drained_while_much_comes():
+    """Guards against an end that is only on its way, since the receive window was full."""
+    presence = ClientPresence(TRANSPORT)
+    presence.input_unread(1000)
+    for n in range(20):
+        presence.input_drained(1000 + 9 * n, n * (TRANSPORT.max_settled_bytes + 1))
+    assert presence.check(1180) and presence.unread_since == 1000
+    presence.input_unread(1190)
+    presence.input_drained(1195, 1)
+    presence.input_drained(1204, 1)
+    assert presence.is_over
+    presence.input_drained(1205, 1)
+    assert not presence.is_in_doubt
+
+
 def test_input_read_ahead_comes_out_in_order_and_is_counted():
     account = MemoryAccount()
     ahead = ReadAhead(account)
