Don't poll for input of a client whose end was read ahead

The new test finds the descriptor among the events before and not after. A connection in doubt always gets its time to settle anew when input is left, else its next look could lie in the past while it is throttled.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -233,7 +233,8 @@
             if presence.is_in_doubt:
                 self._note_arrivals()  # what was read just now may have waited for as long as any
                 presence.input_drained(self.clients.scheduler.polled_at, stream.bytes_received)
-        elif self.slots or self._skipper is not None:  # else the last answer would have been reset
+        elif self.slots or self._skipper is not None or presence.is_in_doubt:
+            # Without an open command the last answer would have been reset.
             presence.input_unread(self.clients.scheduler.polled_at - self.clients.scheduler.lag)
         return mask
 
@@ -436,7 +437,7 @@
             may_read = bool(self.slots) and self._may_read_ahead()
         else:
             may_read = True
-        reading = READ if may_read and not self._stream.ended else 0
+        reading = READ if may_read and not self._stream.is_read_to_end else 0
         ending = 0 if self._stream.peer_ended else PEER_END
         return reading | ending | (WRITE if self._stream.unsent_bytes else 0)
 
--- a/loftroute/runtime/stream.py
+++ b/loftroute/runtime/stream.py
@@ -129,6 +129,7 @@
         unsent_bytes: bytes that were written and that the system has not accepted yet.
         peer_ended: whether the peer is known to have shut down its side; unread data may be left. Only a task
             that waits for `PEER_END` learns of it before all data is read.
+        is_read_to_end: whether the socket has nothing more; what was read ahead may be left.
         ended: whether the peer has shut down its side and all data was read, or the connection is broken.
         broken: whether the connection is broken in both directions.
         closed: whether `close` was called.
@@ -138,7 +139,6 @@
 
     __slots__ = (
         "_ahead",
-        "_is_read_to_end",
         "_mask",
         "_scheduler",
         "_send_queue",
@@ -150,6 +150,7 @@
         "ended",
         "events",
         "fd",
+        "is_read_to_end",
         "peer_ended",
         "task",
         "unsent_bytes",
@@ -169,7 +170,7 @@
         self.task: Task | None = None
         self._mask: int | None = None
         self._ahead: ReadAhead | None = None
-        self._is_read_to_end = False  # the socket has nothing more, what was read ahead may be left
+        self.is_read_to_end = False
 
     @classmethod
     def dial(
@@ -221,7 +222,7 @@
         space = self.buffer.free_space()
         if self._ahead:
             self.buffer.end += self._ahead.take_into(space)
-            self.ended = self._is_read_to_end and not self._ahead
+            self.ended = self.is_read_to_end and not self._ahead
             return True
         count = self._receive(space)
         if not count:
@@ -245,7 +246,7 @@
     def read_ahead(self, max_bytes: int) -> None:
         """Read once without waiting, and keep the data, at most `max_bytes` in all, for later reads."""
         room = min(max_bytes - self.bytes_ahead, len(SCRATCH))
-        if not self.events or room <= 0 or self.closed or self._is_read_to_end:
+        if not self.events or room <= 0 or self.closed or self.is_read_to_end:
             return
         if self._ahead is None:
             self._ahead = ReadAhead(self._scheduler.message_memory)
@@ -265,7 +266,7 @@
         except OSError:
             count, self.broken = 0, True
         if not count:
-            self.peer_ended = self._is_read_to_end = True
+            self.peer_ended = self.is_read_to_end = True
             self.ended = self.broken or not self._ahead
         return count
 
--- a/tests/test_client_presence.py
+++ b/tests/test_client_presence.py
@@ -7,7 +7,7 @@
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.read_ahead import ReadAhead
 from tests.stepped import ask, got
-from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold
+from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold, warm_up
 
 TRANSPORT = Transport(half_close_grace_ns=100, network_margin_ns=10)
 
@@ -67,6 +67,7 @@
         presence.input_drained(1000 + 9 * n, n * (TRANSPORT.max_settled_bytes + 1))
     assert presence.check(1180) and presence.unread_since == 1000
     presence.input_unread(1190)
+    assert presence.next_check is None
     presence.input_drained(1195, 1)
     presence.input_drained(1204, 1)
     assert presence.is_over
@@ -127,3 +128,18 @@
     before = cluster.scheduler.message_memory.used_bytes
     connection.evict()
     assert cluster.scheduler.message_memory.used_bytes <= before - bound
+
+
+def test_a_connection_whose_end_was_read_ahead_does_not_wake_its_task_again_and_again(world):
+    """Guards against a poll that reports the end of a client for as long as its requests are open."""
+    cluster = world(units=8)
+    warm_up(cluster)
+    client = cluster.client()
+    client.sendall(b"".join(ask(f"key{n}") for n in range(300)))
+    cluster.turn(30)
+    (connection,) = [c for c in cluster.relay.clients.connections if c.slots]
+    client.shutdown(1)
+    cluster.turn(5)
+    cluster.step(100)
+    assert connection.slots and connection.is_half_closed
+    assert connection._stream.fd not in [fd for fd, _ in cluster.scheduler._poller.poll(0)]
