An earlier answer does not shorten the time in which requests may be started

Found by reading: an answer noted in a doubt that had passed was taken as the last proof in the next one, so that its time was over at once and living clients lost retries.

--- a/loftroute/relay/client_presence.py
+++ b/loftroute/relay/client_presence.py
@@ -68,8 +68,9 @@
 
     def was_there(self, at: int) -> None:
         """Note that the client was there at a time, though input is left unread: it took an answer."""
-        if not self.has_ended and self._start_until is not None:
-            self._start_until, self.is_over = at + self._transport.half_close_grace_ns, False
+        until = at + self._transport.half_close_grace_ns
+        if not self.has_ended and self._start_until is not None and until > self._start_until:
+            self._start_until, self.is_over = until, False
 
     def _limit_to(self, gone_at: int) -> None:
         self.is_in_doubt, until = True, gone_at + self._transport.half_close_grace_ns
--- a/tests/test_client_presence.py
+++ b/tests/test_client_presence.py
@@ -49,6 +49,13 @@
     assert not presence.is_over and presence.next_check == 1250
 
 
+def test_an_earlier_answer_does_not_shorten_the_time():
+    presence = ClientPresence(TRANSPORT)
+    presence.input_unread(1000)
+    presence.was_there(950)
+    assert presence.next_check == 1100 and not presence.check(1099)
+
+
 def test_no_answer_brings_a_client_back_that_has_ended():
     presence = ClientPresence(TRANSPORT)
     presence.end_seen(1000)
