--- a/tests/test_client_presence.py
+++ b/tests/test_client_presence.py
@@ -7,7 +7,7 @@
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.read_ahead import ReadAhead
 from tests.stepped import ask, got
-from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold, warm_up
+from tests.test_clients_that_left import answer_all, ask_with_body, send_more_than_buffers_hold, warm_up
 
 TRANSPORT = Transport(half_close_grace_ns=100, network_margin_ns=10)
 
@@ -101,8 +101,7 @@
     """Guards against a connection that waits for good for a client that can't be seen."""
     cluster = world(units=8)
     client, received = cluster.client(), b""
-    data = [ask(f"key{n}", kind="pay") + b"$%d\r\n" % body + b"B" * body + b"\r\n" for n in range(commands)]
-    whole = b"".join(command.replace(b"*4", b"*5", 1) for command in data)
+    whole = b"".join(ask_with_body(f"key{n}", body) for n in range(commands))
     sent = send_more_than_buffers_hold(cluster, client, [whole])
     for _ in range(400):
         cluster.step(20, 2)  # the client's end can't be seen for longer than requests may be started
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -238,6 +238,49 @@
     assert cluster.units["u0"].asks() == 0 and cluster.relay.module.open_requests == {}
 
 
+def send_more_than_buffers_hold(cluster, client, commands):
+    """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
+    data, sent, stuck = b"".join(commands), 0, 0
+    while stuck < 20 and sent < len(data):
+        try:
+            sent += client.send(data[sent : sent + (1 << 16)])
+            stuck = 0
+        except BlockingIOError:
+            stuck += 1
+            cluster.turn()
+    cluster.turn(30)
+    return sent
+
+
+def ask_with_body(key, body_bytes):
+    """Return an unsafe request with a body."""
+    return ask(key, kind="pay").replace(b"*4", b"*5", 1) + b"$%d\r\n%b\r\n" % (body_bytes, b"B" * body_bytes)
+
+
+def requests_sent(cluster):
+    """Return the number of requests that the units have got."""
+    return sum(unit.asks() for unit in cluster.units.values())
+
+
+def begun_after_close(cluster, client):
+    """Close a client, have the units turn away all but its first request 250 ms later.
+
+    Return the number of requests that were sent to units after the close.
+    """
+    sent = requests_sent(cluster)
+    client.close()
+    cluster.clients.remove(client)
+    for _ in range(10):
+        cluster.step(25)
+    for unit in cluster.units.values():
+        for peer, heard in list(unit.heard.items()):
+            if heard and b"key0\r\n" not in heard:
+                peer.sendall(b"-BUSY\r\n")
+    for _ in range(8):
+        cluster.step(20, 2)
+    return requests_sent(cluster) - sent
+
+
 @pytest.mark.parametrize("behind", [b"?\r\n", b"?\r\n" + b"y" * 1_000_000])
 def test_no_attempt_is_begun_for_a_client_that_closed_after_it_broke_the_framing(world, behind):
     """Guards against attempts for a client whose end is not looked for, since what it sends can't be read."""
@@ -314,56 +357,19 @@
     recall = cluster.relay.module.recall = RecallThatRecordsNothing(cluster.relay.module)
     warm_up(cluster)
     client = cluster.client()
-    data = [ask(f"key{n}", kind="pay") + b"$%d\r\n" % body + b"B" * body + b"\r\n" for n in range(300)]
-    send_more_than_buffers_hold(cluster, client, [command.replace(b"*4", b"*5", 1) for command in data])
-    assert sum(unit.asks() for unit in cluster.units.values()) == 64
-    client.close()
-    cluster.clients.remove(client)
-    for _ in range(10):
-        cluster.step(25)
-    for unit in cluster.units.values():
-        for peer, heard in list(unit.heard.items()):
-            if heard and b"key0\r\n" not in heard:
-                peer.sendall(b"-BUSY\r\n")
-    for _ in range(8):
-        cluster.step(20, 2)
-    assert sum(unit.asks() for unit in cluster.units.values()) == 64
+    send_more_than_buffers_hold(cluster, client, [ask_with_body(f"key{n}", body) for n in range(300)])
+    assert requests_sent(cluster) == 64
+    assert begun_after_close(cluster, client) == 0
     assert recall.gone or body > 10
 
 
-def send_more_than_buffers_hold(cluster, client, commands):
-    """Send commands until the relay takes no more; return the number of bytes that the system accepted."""
-    data, sent, stuck = b"".join(commands), 0, 0
-    while stuck < 20 and sent < len(data):
-        try:
-            sent += client.send(data[sent : sent + (1 << 16)])
-            stuck = 0
-        except BlockingIOError:
-            stuck += 1
-            cluster.turn()
-    cluster.turn(30)
-    return sent
-
-
 @pytest.mark.parametrize("body", [2000, 60000])
 def test_no_attempt_is_begun_for_a_client_that_closed_behind_a_full_receive_window(world, body):
     """Guards against attempts for a client whose end waits behind what the relay does not read."""
     cluster = world(units=8)
     warm_up(cluster)
     client = cluster.client()
-    commands = [ask(f"key{n}", kind="pay") + b"$%d\r\n" % body + b"B" * body + b"\r\n" for n in range(900)]
-    commands = [command_.replace(b"*4", b"*5", 1) for command_ in commands]
+    commands = [ask_with_body(f"key{n}", body) for n in range(900)]
     assert send_more_than_buffers_hold(cluster, client, commands) > 64 * body
-    sent = sum(unit.asks() for unit in cluster.units.values())
-    assert sent == 64
-    client.close()
-    cluster.clients.remove(client)
-    for _ in range(10):
-        cluster.step(25)
-    for unit in cluster.units.values():
-        for peer, heard in list(unit.heard.items()):
-            if heard and b"key0\r\n" not in heard:
-                peer.sendall(b"-BUSY\r\n")
-    for _ in range(8):
-        cluster.step(20, 2)
-    assert sum(unit.asks() for unit in cluster.units.values()) == sent
+    assert requests_sent(cluster) == 64
+    assert begun_after_close(cluster, client) == 0
