Count the wait in the accept queue for all that came before the accept

Cause: Connection._waited was set to 0 after the first read, which takes 16 steps, so the 17th command and those after it counted as new. The wait now counts until all that had come was read.

--- a/loftroute/relay/client_connection.py
+++ b/loftroute/relay/client_connection.py
@@ -37,6 +37,7 @@
         self.number = clients.accepted
         # How long the connection may have waited to be accepted (nanoseconds).
         self._waited = waited
+        self._waited_before_accept = waited  # the same, until all that came before was read
         if waited:
             stream.events = 0  # poll first: it tells whether the client has left meanwhile
         self._transport = clients.config.transport
@@ -152,6 +153,8 @@
                     return
                 if stream.buffer.end > stream.buffer.start or stream.bytes_ahead:
                     self._note_arrivals()
+                if self._waited_before_accept and not self._waited:
+                    self._forget_wait_before_accept()
                 if self._has_unparsed_input and not (self._is_stopped() or self._is_held()):
                     self.clients.scheduler.wake_next_turn(self.task)
                 stream.wait(self._next_wakeup(), mask)
@@ -196,16 +199,23 @@
             self._arrivals = ArrivalTimes(self._transport.network_margin_ns)
         scheduler, unread_since = self.clients.scheduler, self._presence.unread_since
         arrived_at = scheduler.polled_at - scheduler.lag if unread_since is None else unread_since
-        self._arrivals.note(self._stream.bytes_received, arrived_at)
+        self._arrivals.note(self._stream.bytes_received, arrived_at - self._waited_before_accept)
+
+    def _forget_wait_before_accept(self) -> None:
+        """Forget the time in the accept queue once all that had come by then was read."""
+        if not (self._stream.events or self._presence.is_in_doubt):
+            self._waited_before_accept = 0
 
     def _unread_time(self) -> int:
         """Return for how long the command that was parsed last may have waited, from its last byte on."""
-        waited, arrived_at = max(self.clients.scheduler.lag, self._waited), self._presence.unread_since
+        scheduler, unread_since = self.clients.scheduler, self._presence.unread_since
+        waited = max(scheduler.lag, self._waited_before_accept)
+        noted_at = None
         if self._arrivals:
-            offset = self._stream.bytes_received - self.partly_read
-            noted_at = self._arrivals.arrival_of(offset)
-            arrived_at = arrived_at if noted_at is None else noted_at
-        return waited if arrived_at is None else max(waited, self.clients.scheduler.clock.now() - arrived_at)
+            noted_at = self._arrivals.arrival_of(self._stream.bytes_received - self.partly_read)
+        if noted_at is None and unread_since is not None:
+            noted_at = unread_since - self._waited_before_accept
+        return waited if noted_at is None else max(waited, scheduler.clock.now() - noted_at)
 
     def _note_answer(self) -> None:
         """Note that an answer was passed to the system, which may tell whether the client is there."""
--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -5,8 +5,13 @@
 import pytest
 
 from loftroute.relay.arrival_times import ArrivalTimes
-from tests.stepped import ask
-from tests.test_clients_that_left import answer_all, send_more_than_buffers_hold, warm_up
+from tests.stepped import MS, ask
+from tests.test_clients_that_left import (
+    answer_all,
+    queue_behind_silent_clients,
+    send_more_than_buffers_hold,
+    warm_up,
+)
 
 D = re.compile(rb",d=(\d+)")
 
@@ -57,6 +62,22 @@
     answer_all(cluster)
 
 
+@pytest.mark.parametrize("memory_mb", [192, 32])
+def test_requests_sent_before_their_connection_was_accepted_tell_their_units_the_time_that_is_left(
+    world, memory_mb
+):
+    """Guards against a wait in the accept queue that only counts for the commands of the first read."""
+    cluster = world(units=2, limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": 64})
+    late = queue_behind_silent_clients(cluster)
+    sent_at, open_requests = cluster.clock.now(), cluster.relay.module.open_requests
+    late.sendall(b"".join(ask(f"late{n}", kind="pay", d=2000) for n in range(40)))
+    cluster.turn(3)
+    cluster.until(lambda: len(open_requests) > 16 or cluster.step(10, 1))  # more than one turn reads
+    assert cluster.clock.now() - sent_at >= 50 * MS
+    assert max(request.deadline for request in open_requests.values()) <= sent_at + 2000 * MS
+    late.close()
+
+
 def test_what_the_system_kept_unread_counts_from_when_all_was_read_last(world):
     """Guards against time limits that count from when a command was read, beyond what is read ahead."""
     cluster = world(units=8)
