--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -36,6 +36,7 @@
         self._stream: Stream | None = None
         self.failures = self.lists = self.stale_lists = 0
         self._failures_in_row = 0
+        self._call_started_at = 0
         self._stale_since: int | None = None  # since when the agent's lists have a lower version
         self.mailbox: Mailbox[i.Watch | i.Fetch] = Mailbox(scheduler, config.transport.mailbox_capacity)
 
@@ -90,7 +91,8 @@
         if isinstance(problem, ProtocolError) and self._failures_in_row == 1:
             logger.warning("discovery: {}; the list stays as it was", problem)
         else:
-            logger.debug("discovery: {}", problem)
+            elapsed_ms = (self._scheduler.clock.now() - self._call_started_at) // MS
+            logger.debug("discovery: {} after {} ms: {}", type(problem).__name__, elapsed_ms, problem)
         if self._starts_on_order:
             self._is_watching = self._fetch_requested = False
             failed = i.ServerList(i.ListKind.FAILED, self._version or 0, ())
@@ -100,6 +102,7 @@
         """Make one call and apply its answer."""
         transport, clock = self._transport, self._scheduler.clock
         self._address_changed = False
+        self._call_started_at = clock.now()
         stream = self._stream = self._stream or Stream.dial(
             self._scheduler,
             self._address,
@@ -125,6 +128,13 @@
         if response.status != 200:
             raise ProtocolError(f"discovery: status {response.status}")
         listing = self._config.catalog.read(response.body)
+        logger.debug(
+            "discovery: {} answered after {} ms with version {}, {} entries",
+            target,
+            (clock.now() - self._call_started_at) // MS,
+            listing.event.version,
+            len(listing.event.entries),
+        )
         # Cleared before the list is applied, since applying it may request the full list again.
         self._fetch_requested = self._fetch_requested and not fetch_all
         self._apply(listing)
