Keep a silent stream of changes open beside the next, so that a slow platform is heard

What callers would see: a platform whose first word on a stream comes more than 2.5 s late, or whose lines take longer than that to arrive, is never heard: each stream was closed after changes_silence_timeout_ns and the next was the same again. A lower cap, a release taken back, stay unknown.

Change: a stream without data for 2.5 s stays open, and another one is opened beside it, at the same rate as before. At most four streams are open (the platform takes 32), the second oldest gives way, 30 s each.

The votes move to a module of their own, unchanged.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -267,7 +267,7 @@
     watch_retry_wait_ns: int = 200_000_000
     # The answer to a watch is overdue this long after its requested wait is over; another call follows.
     watch_grace_ns: int = 400_000_000
-    # A call to discovery that is overdue is closed after this time.
+    # A call to discovery that is overdue, or a stream of changes without data, is closed after this time.
     call_patience_ns: int = 30_000_000_000
     # A change that discovery has should reach the relay within this time. It counts as known to the relay
     # after 6 s at the latest, whether it arrived or not.
@@ -278,8 +278,10 @@
     stale_list_grace_ns: int = 2_000_000_000
     # Time after the start that readiness waits for the first release news from the platform.
     first_news_timeout_ns: int = 2_000_000_000
-    # The stream of changes is abandoned after this time without any data.
+    # Another stream of changes is opened beside one that has brought no data for this time.
     changes_silence_timeout_ns: int = 2_500_000_000
+    # Open streams of changes. Beyond this the second oldest is closed.
+    max_open_streams: int = 4
     # Longest delay before a failed call is retried.
     retry_delay_ns: int = 200_000_000
     # Minimum time between an answer and the next request on the same connection.
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -15,12 +15,13 @@
 from loftroute.config import Config
 from loftroute.decision.policy import Balancer
 from loftroute.protocol.catalog import Address
+from loftroute.relay.changes import Changes
 from loftroute.relay.clients import Clients
 from loftroute.relay.discovery import Discovery
 from loftroute.relay.module import Module
-from loftroute.relay.platform import Changes, Votes
 from loftroute.relay.request_log import RequestLog
 from loftroute.relay.units import Units
+from loftroute.relay.votes import Votes
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import MS, Scheduler, TimeSource, spawn_supervised
 
