Hear the answer to a vote that has timed out, for the state of the release that it tells

What callers would see: a platform that answers votes later than the settings' time-out, with its stream of changes silent, has told the relay the state of the release in each answer, and the relay heard none: the connection of each vote was closed at its time-out. The time-out itself stays: it is the settings', the vote may have been counted, and the module is told so as before.

Change: after the time-out the answer is waited for, until the next vote is sent, 30 s at most, on one connection. It goes to the module marked as late: it tells the state, unless that is older than what is known, and settles no vote, since the module may have sent another one by then.

Tests: the first of three fails before with 'assert 0 == 1' (the stage), the others for want of the count of late answers.

--- a/loftroute/config.py
+++ b/loftroute/config.py
@@ -267,7 +267,7 @@
     watch_retry_wait_ns: int = 200_000_000
     # The answer to a watch is overdue this long after its requested wait is over; another call follows.
     watch_grace_ns: int = 400_000_000
-    # A call to discovery that is overdue, or a stream of changes without data, is closed after this time.
+    # Overdue calls to discovery, silent streams of changes and unanswered votes are closed after this time.
     call_patience_ns: int = 30_000_000_000
     # A change that discovery has should reach the relay within this time. It counts as known to the relay
     # after 6 s at the latest, whether it arrived or not.
--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -348,6 +348,7 @@
         cap: share of the requests that may reach the build now.
         build: the build that is on trial, released or rolled back.
         is_reply: this answers a vote of this instance.
+        is_late: this reply came after its vote had timed out, and settles none.
     """
 
     phase: int
@@ -357,6 +358,7 @@
     cap: float
     build: int
     is_reply: bool
+    is_late: bool = False
 
     def progress(self) -> tuple[int, int, int]:
         """Return a tuple that orders states: the later one is greater.
--- a/loftroute/decision/policy.py
+++ b/loftroute/decision/policy.py
@@ -1196,12 +1196,12 @@
         """Take over the state of the release, and start new scans when build, stage or phase changes.
 
         A reply that failed, or that is older than what is known, settles the pending vote and changes nothing
-        else. Pushed news is always taken over. An alarm lasts until the next build. The scan of slowness goes
-        on from stage to stage, since with each stage the baseline build has less load and so answers faster.
-        The outcomes of a build that is rolled back are dropped, since the next build must not be compared
-        with them.
+        else; a late reply settles none, since another vote may be pending by now. Pushed news is always taken
+        over. An alarm lasts until the next build. The scan of slowness goes on from stage to stage, since
+        with each stage the baseline build has less load and so answers faster. The outcomes of a build that
+        is rolled back are dropped, since the next build must not be compared with them.
         """
-        if news.is_reply and self.last_vote:
+        if news.is_reply and not news.is_late and self.last_vote:
             self.last_vote.apply_reply(news.status is Outcome.OK, self.release.vote_ttl)
         previous = self.release_state
         if news.status is not Outcome.OK or (
--- a/loftroute/relay/changes.py
+++ b/loftroute/relay/changes.py
@@ -106,7 +106,7 @@
 
     def _close(self, stream: ChangeStream) -> None:
         self._streams.remove(stream)
-        if stream.task:
+        if stream.task is not None:  # a task that has not begun counts as false
             self._scheduler.cancel(stream.task)
 
     # ---- the task of a stream
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -230,6 +230,7 @@
             "turns": scheduler.turns,
             "discovery failures": self.discovery.failures,
             "changes failures": self.changes.failures if self.changes else 0,
+            "late vote answers": self.votes.late_answers if self.votes else 0,
             "dropped messages": self.module.mailbox.dropped,
             "requests": self.module.requests,
             "served": self.module.served,
--- a/tests/test_slow_platform.py
+++ b/tests/test_slow_platform.py
@@ -1,8 +1,10 @@
-"""Platforms whose news come late, in pieces or never (issue 60)."""
+"""Platforms whose news and answers to votes come late, in pieces or never (issue 60)."""
 
 import pytest
 
 from loftroute.config import ControlAddresses
+from loftroute.decision import interface as i
+from loftroute.decision.state import SentVote
 from tests.stepped import SECOND
 from tests.stepped_platform import SteppedPlatform, state
 
@@ -138,3 +140,51 @@
     run(100)
     assert not platform.peers
     other.close()
+
+
+def test_the_late_answer_to_a_vote_still_tells_the_state(start):
+    """Guards against closing each vote's connection before its answer, the only news of a silent stream."""
+    relay, platform = start()
+    platform.run(500)
+    for peer in platform.peers:
+        peer.is_forgotten = True
+    platform.delay_ns = int(1.7 * SECOND)  # the settings wait for one second
+    platform.state = state(1, 0.5)
+    relay.relay.votes.mailbox.put(i.Vote(0, 42, i.Verdict.ON))
+    platform.run(1200)
+    assert relay.relay.votes.failures == 1 and stage(relay) == 0
+    platform.run(700)
+    assert stage(relay) == 1
+    assert relay.relay.votes.late_answers == 1
+
+
+def test_a_late_answer_settles_no_vote_and_is_dropped_once_another_vote_is_sent(start):
+    """Guards against the answer to one vote being taken for that to the next."""
+    relay, platform = start()
+    platform.run(500)
+    votes, balancer = relay.relay.votes, relay.relay.balancer
+    platform.delay_ns = 3 * SECOND
+    votes.mailbox.put(i.Vote(0, 42, i.Verdict.ON))
+    platform.run(1200)
+    votes.mailbox.put(i.Vote(0, 42, i.Verdict.BACK))
+    platform.run(2500)  # the answer to the first one would have come
+    assert votes.late_answers == 0
+    balancer.last_vote = SentVote(0, 42, i.Verdict.BACK, relay.clock.now())  # as if a third were on its way
+    platform.run(2000)
+    assert votes.late_answers == 1 and len(platform.votes) == 2
+    assert balancer.last_vote.pending and not balancer.last_vote.valid_until
+
+
+def test_votes_that_follow_each_other_leave_no_connection_open(start):
+    """Guards against waiting for the answers of earlier votes as well."""
+    relay, platform = start()
+    platform.run(500)
+    platform.delay_ns = 60 * SECOND
+    for _ in range(4):
+        relay.relay.votes.mailbox.put(i.Vote(0, 42, i.Verdict.ON))
+    platform.run(4200)
+    assert len(platform.votes) == 4
+    assert len(platform.peers) <= 4 + 1  # streams of changes, and the last vote
+    platform.run(31_000)
+    assert relay.relay.votes.late_answers == 0
+    assert len(platform.peers) <= 4
