Plays of clients that leave have a slow agent and a drain as well

Each plan draws by how much the agent of discovery answers late (none, up to 1 s, up to 4 s) and when the first unit drains; the checker has the rule on drains with the protocol's bound, 6 s and the grace, so that it bites in plays of over 9 s. What the seeds drew before stays the same.

--- a/loftroute/lab/departures/checker.py
+++ b/loftroute/lab/departures/checker.py
@@ -8,10 +8,14 @@
 from dataclasses import dataclass
 
 from loftroute.lab.departures.history import AttemptRecord, History, RequestRecord
+from loftroute.lab.setup import SETUP
 
 ATTEMPT_AFTER_CLOSE_S = 0.1 + 0.05  # with slack
 LATE_ANSWER_S = 0.5  # so long after a request's time its answer only earns nothing
 TOLD_TIME_SLACK_S = 0.15
+# A drain counts as known 6 s after discovery had it, whatever became of the calls; then comes the grace.
+DRAIN_KNOWN_S = 6.0
+DRAIN_GRACE_S = SETUP["obligations"]["drain_grace"] / 1e9 + 0.05  # with slack
 MAX_LAG_S = 0.3  # a play that was held up for longer blames nobody
 
 
@@ -39,6 +43,7 @@
         found += _told_times(request, attempts[request.id], history.worst_lag_s)
         found += _effects(request, attempts[request.id])
         found += _answers(request, attempts[request.id], history)
+    found += _attempts_after_drain(history)
     if history.exit_status not in (None, 0) and history.killed_at is None:
         found.append(Violation("crash", f"the relay ended with status {history.exit_status}"))
     if history.peak_memory_kb > history.memory_limit_kb:
@@ -60,6 +65,21 @@
     ]
 
 
+def _attempts_after_drain(history: History) -> list[Violation]:
+    waits = [
+        (attempt, attempt.began_at - history.drains[attempt.unit])
+        for attempt in history.attempts
+        if attempt.unit in history.drains
+    ]
+    return [
+        Violation(
+            "drain", f"{attempt.request} at {attempt.unit} {wait_s:.3f} s after the agent had its drain"
+        )
+        for attempt, wait_s in waits
+        if wait_s > DRAIN_KNOWN_S + DRAIN_GRACE_S + history.worst_lag_s
+    ]
+
+
 def _told_times(request: RequestRecord, attempts: list[AttemptRecord], lag_s: float) -> list[Violation]:
     ends_at = request.sent_at + request.time_left_s
     return [
--- a/loftroute/lab/departures/history.py
+++ b/loftroute/lab/departures/history.py
@@ -57,6 +57,7 @@
     Attributes:
         requests: the requests by id.
         attempts: the attempts, in the order of their arrival.
+        drains: when the agent of discovery had that a unit drains, by its name.
         terminated_at: when SIGTERM was sent; None if it was not.
         exit_status: of the relay; None if it still ran at the end, negative for the signal that ended it.
         killed_at: when the stand-in for the platform sent SIGKILL; None if it didn't.
@@ -67,6 +68,7 @@
 
     requests: dict[str, RequestRecord] = field(default_factory=dict)
     attempts: list[AttemptRecord] = field(default_factory=list)
+    drains: dict[str, float] = field(default_factory=dict)
     terminated_at: float | None = None
     exit_status: int | None = None
     killed_at: float | None = None
--- a/loftroute/lab/departures/plan.py
+++ b/loftroute/lab/departures/plan.py
@@ -71,6 +71,8 @@
         silent_clients: connections that send nothing.
         signals: what happens to the relay.
         memory_mb: memory limit that the relay is told.
+        agent_delay_s: by how much the agent of discovery answers late.
+        drain_at_s: when the first unit begins to drain; None if it never does.
     """
 
     seed: int
@@ -84,11 +86,13 @@
     silent_clients: int
     signals: tuple[Signal, ...]
     memory_mb: int = 192
+    agent_delay_s: float = 0.0
+    drain_at_s: float | None = None
 
 
 def draw(seed: int, length_s: float = 6.0) -> Plan:
     """Return the plan of a seed."""
-    rng = random.Random(seed)
+    rng, agent_rng = random.Random(seed), random.Random(f"agent {seed}")
     return Plan(
         seed=seed,
         length_s=length_s,
@@ -101,6 +105,8 @@
         silent_clients=rng.choice([0, 0, 100, 300]),
         signals=_draw_signals(rng, length_s),
         memory_mb=rng.choice([192, 192, 64, 32]),
+        agent_delay_s=agent_rng.choice([0.0, agent_rng.uniform(0.2, 1.0), agent_rng.uniform(1.0, 4.0)]),
+        drain_at_s=agent_rng.uniform(0.3, 1.5),
     )
 
 
--- a/loftroute/lab/departures/play.py
+++ b/loftroute/lab/departures/play.py
@@ -88,6 +88,9 @@
             loop.call_after(group.at_s, partial(client.start, self._relay.port))
         for event in plan.signals:
             loop.call_after(event.at_s, partial(self._signal, event))
+        self._relay.discovery.delay_s = plan.agent_delay_s
+        if plan.drain_at_s is not None:
+            loop.call_after(plan.drain_at_s, self._drain)
         loop.call_after(plan.length_s, self._terminate)
         self._measure_memory()
 
@@ -110,6 +113,12 @@
         self._relay.process.send_signal(signal.SIGSTOP)
         self._loop.call_after(event.length_s, lambda: self._relay.process.send_signal(signal.SIGCONT))
 
+    def _drain(self) -> None:
+        """Have the agent of discovery know that the first unit drains."""
+        unit = next(iter(self._units))
+        self._relay.discovery.change(**{unit: {"lifecycle": "DRAINING"}})
+        self._history.drains[unit] = time.monotonic()
+
     def _terminate(self) -> None:
         self._history.terminated_at = time.monotonic()
         self._relay.process.send_signal(signal.SIGTERM)
@@ -155,6 +164,7 @@
     return (
         f"seed {result.plan.seed}: {verdict}, {len(history.requests)} requests, {left} of them left, "
         f"{len(history.attempts)} attempts, violations {dict(rules) or 'none'}, "
+        f"agent {result.plan.agent_delay_s:.1f} s late, "
         f"memory {history.peak_memory_kb >> 10} of {result.plan.memory_mb} MB, "
         f"lag of the play {history.worst_lag_s * 1000:.0f} ms"
     )
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -46,6 +46,14 @@
     return RequestRecord(**values)
 
 
+def test_an_attempt_at_a_unit_whose_drain_counts_as_known_breaks_the_rule():
+    history = History(requests={"a": request(answers=[(10.5, b"+")])}, attempts=[attempt(began_at=17.1)])
+    history.drains["u0"] = 10.0
+    assert [violation.rule for violation in check(history) if violation.rule == "drain"] == ["drain"]
+    history.attempts = [attempt(began_at=17.0)]
+    assert not [violation for violation in check(history) if violation.rule == "drain"]
+
+
 def attempt(began_at=10.0, told_s=0.9, ran=True):
     return AttemptRecord("a", "u0", began_at, told_s, ran)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,7 +15,7 @@
 
 
 def test_discovery_is_asked_again_in_time_for_what_it_has_to_be_known_within_6_s():
-    """Guards against a wait of up to 6 s after several failures, with the call still to be made (issue 60)."""
+    """Guards against a wait of up to 6 s after several failures, with the call still to come (issue 60)."""
     waits = []
     for seed in range(1, 11):
         relay = Relay(setup(discovery="ask"), seed)
