--- a/loftroute/__main__.py
+++ b/loftroute/__main__.py
@@ -3,6 +3,7 @@
 import sys
 
 from loftroute import config
+from loftroute.config_section import ConfigError
 from loftroute.relay import lifecycle
 
 
@@ -16,7 +17,7 @@
         settings = config.load()
         lifecycle.log_to_stderr()
         relay = lifecycle.Relay(settings)
-    except (config.ConfigError, OSError) as problem:
+    except (ConfigError, OSError) as problem:
         print(f"loftroute: {problem}", file=sys.stderr)
         return 2
     relay.run()
--- a/loftroute/bench/codec.py
+++ b/loftroute/bench/codec.py
@@ -1,15 +1,15 @@
 """Codec of the benchmark simulator's text protocol: lines into events, actions into lines.
 
 Values are separated by spaces and read by position; `-` stands for an absent value. Times are in nanoseconds.
-The settings in BOOT are read by loftroute/config.py, as those of the real relay are.
+The settings in BOOT are read by loftroute/module_settings.py, as those of the real relay are.
 """
 
 import json
 from collections.abc import Callable
 from typing import Any
 
-from loftroute.config import settings
 from loftroute.decision import interface
+from loftroute.module_settings import read_settings
 
 LEDGERS = 16  # numbers of server lists are below this
 BUILD_LIMIT = 65536  # build numbers are below this
@@ -215,7 +215,7 @@
     """
     try:
         seed, document = text.split(" ", 1)
-        return int(seed), settings(json.loads(document))
+        return int(seed), read_settings(json.loads(document))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise WireError(f"BOOT: {error}") from error
 
--- a/loftroute/cli/main.py
+++ b/loftroute/cli/main.py
@@ -10,6 +10,7 @@
 from loftroute import config
 from loftroute.cli.pair import pair
 from loftroute.cli.store import store
+from loftroute.config_section import ConfigError
 from loftroute.settings.reading import SettingsError, load
 from loftroute.store.records import StoreError
 
@@ -82,7 +83,7 @@
         return 2
     except click.Abort:
         return 2
-    except (SettingsError, config.ConfigError, StoreError, OSError) as problem:
+    except (SettingsError, ConfigError, StoreError, OSError) as problem:
         print(f"loftroute: {problem}", file=sys.stderr)
         return 2
     except SystemExit as end:
--- a/loftroute/lab/fleet.py
+++ b/loftroute/lab/fleet.py
@@ -12,10 +12,10 @@
 from random import Random
 from typing import Any
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
 from loftroute.lab.setup import MS, SECOND, setup
+from loftroute.module_settings import read_settings
 
 # Time until a vote is answered; least and greatest delay of lists and news.
 VOTE_DELAY, LATE_NEWS = 100 * MS, (150 * MS, 600 * MS)
@@ -166,7 +166,7 @@
         **changes: Any,
     ) -> None:
         raw_settings = setup(instances=instances, **changes)
-        self.settings, self.random = config.settings(raw_settings), Random(seed)
+        self.settings, self.random = read_settings(raw_settings), Random(seed)
         self.cold, self.cold_share = (
             self.settings.cold_duration,
             self.settings.start_capacity,
--- a/loftroute/lab/scale/fleet.py
+++ b/loftroute/lab/scale/fleet.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.lab.scale import workload
 from loftroute.lab.scale.relays import HollowRelay, OpenRequest
@@ -21,6 +20,7 @@
 from loftroute.lab.scale.standins import KEEP_ALIVE_INTERVAL, KEEP_ALIVE_LINE, Discovery, Platform
 from loftroute.lab.scale.units import Effects, HollowUnit, RuleCounts
 from loftroute.lab.setup import MS, SECOND
+from loftroute.module_settings import read_settings
 from loftroute.protocol import pipeline
 
 DIAL_TIMEOUT = 250 * MS
@@ -87,7 +87,7 @@
     def __init__(self, relays: int, units: int, requests_per_s: float, seed: int) -> None:
         self.simulation = Simulation(seed)
         self.raw = workload.raw_settings(relays, 3, 1)
-        self.settings = config.settings(self.raw)
+        self.settings = read_settings(self.raw)
         self.rate = requests_per_s
         self.counts, self.outcomes = RuleCounts(), RequestOutcomes()
         self.effects = Effects(self.counts)
--- a/loftroute/lab/scale/relays.py
+++ b/loftroute/lab/scale/relays.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from loftroute.config import Transport
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
 from loftroute.lab.scale import workload
@@ -17,6 +16,7 @@
 from loftroute.lab.setup import MS
 from loftroute.protocol import pipeline
 from loftroute.protocol.catalog import Catalog
+from loftroute.transport import Transport
 
 if TYPE_CHECKING:
     from loftroute.lab.scale.fleet import HollowFleet
--- a/loftroute/lab/scale/single.py
+++ b/loftroute/lab/scale/single.py
@@ -12,13 +12,13 @@
 from random import Random
 from typing import Any
 
-from loftroute import config
-from loftroute.config import Transport
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
 from loftroute.lab.scale import workload
 from loftroute.lab.setup import MS, SECOND
+from loftroute.module_settings import read_settings
 from loftroute.protocol.catalog import Catalog
+from loftroute.transport import Transport
 
 RESPONSE_TIME = 20 * MS
 START_TIME = 100 * SECOND
@@ -47,7 +47,7 @@
         tenants: int = 0,
     ) -> None:
         self.raw = workload.raw_settings(relays, services, tenants)
-        self.settings = config.settings(self.raw)
+        self.settings = read_settings(self.raw)
         self.random = Random(seed)
         self.balancer = Balancer(self.settings, seed)
         self.catalog = Catalog({workload.zone_name(zone): zone for zone in range(workload.ZONES)}, {"m": 0})
@@ -175,5 +175,5 @@
     text = json.dumps(workload.raw_settings(520, services, tenants))
     started_ns = time.thread_time_ns()
     raw: Any = json.loads(text)
-    config.settings(raw)
+    read_settings(raw)
     return (time.thread_time_ns() - started_ns) / 1e9, len(text)
--- a/loftroute/lab/subset_bench.py
+++ b/loftroute/lab/subset_bench.py
@@ -17,11 +17,11 @@
 
 import click
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import HOUSEKEEPING_PERIOD, HOUSEKEEPING_TOKEN, Balancer
 from loftroute.lab.setup import MS, SECOND, setup
 from loftroute.lab.tables import Table
+from loftroute.module_settings import read_settings
 from loftroute.subset.pool import Pool
 
 # Number of relays, connections to units that each may hold, zones, and machine types of the units.
@@ -79,9 +79,7 @@
     """
 
     def __init__(self, subset: bool) -> None:
-        settings = config.settings(
-            setup(instances=RELAYS, self_index=17, zones=[str(n) for n in range(ZONES)])
-        )
+        settings = read_settings(setup(instances=RELAYS, self_index=17, zones=[str(n) for n in range(ZONES)]))
         self.balancer = Balancer(settings, 1)
         self.pool = Pool(17, RELAYS, MAX_CONNECTIONS) if subset else None
         self.now, self.requests = 10 * SECOND, 0
--- a/loftroute/relay/call_schedule.py
+++ b/loftroute/relay/call_schedule.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from loftroute.config import Transport
+from loftroute.transport import Transport
 
 
 @dataclass(eq=False, slots=True)
--- a/loftroute/relay/client_presence.py
+++ b/loftroute/relay/client_presence.py
@@ -9,7 +9,7 @@
 its way then. All is read once little has come for a while. All times are nanoseconds.
 """
 
-from loftroute.config import Transport
+from loftroute.transport import Transport
 
 
 class ClientPresence:
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -143,7 +143,8 @@
     def _make_call(self, call: ListCall) -> None:
         """Body of a call's task: make the call and tell the actor how it ended."""
         deadline = call.started_at + self._transport.call_patience_ns
-        stream, end = self._take_idle_stream(), None
+        stream = self._take_idle_stream()
+        end: CallAnswered | CallFailed | None = None
         try:
             stream = stream or Stream.dial(
                 self._scheduler, self._address, deadline, limit=self._transport.max_document_bytes
@@ -156,7 +157,8 @@
         finally:  # also if the call was closed
             if stream and not isinstance(end, CallAnswered):
                 stream.close()
-        self.mailbox.put(end)
+        if end:
+            self.mailbox.put(end)
 
     def _exchange(self, stream: Stream, call: ListCall, deadline: int) -> catalog.Listing:
         """Send the request of a call and return the list that answers it."""
--- a/loftroute/relay/input_allowance.py
+++ b/loftroute/relay/input_allowance.py
@@ -5,8 +5,8 @@
 read from a connection, or the processing of one command. What is left is processed in the following turns.
 """
 
-from loftroute.config import Transport
 from loftroute.runtime.scheduler import Scheduler
+from loftroute.transport import Transport
 
 
 class ConnectionShare:
--- a/loftroute/relay/keepalive.py
+++ b/loftroute/relay/keepalive.py
@@ -1,6 +1,6 @@
 """Learns how long a connection may be idle and still be reused."""
 
-from loftroute.config import Transport
+from loftroute.transport import Transport
 
 MS = 1_000_000  # nanoseconds
 
--- a/loftroute/relay/lifecycle.py
+++ b/loftroute/relay/lifecycle.py
@@ -13,6 +13,7 @@
 from loftroute import config as configuration
 from loftroute import invariants
 from loftroute.config import Config
+from loftroute.config_section import ConfigError
 from loftroute.decision.policy import Balancer
 from loftroute.protocol.catalog import Address
 from loftroute.relay.changes import Changes
@@ -128,7 +129,7 @@
             self._reload_requested = False
             try:
                 self._apply_addresses(configuration.reload())
-            except configuration.ConfigError as problem:
+            except ConfigError as problem:
                 logger.error("reload: {}; the old configuration stays", problem)
 
     def _apply_addresses(self, control: configuration.ControlAddresses) -> None:
--- a/loftroute/relay/message_budget.py
+++ b/loftroute/relay/message_budget.py
@@ -6,9 +6,9 @@
 
 from typing import Protocol
 
-from loftroute.config import Transport
 from loftroute.protocol import resp
 from loftroute.runtime.memory import MemoryAccount
+from loftroute.transport import Transport
 
 
 class Receiver(Protocol):
--- a/loftroute/relay/units.py
+++ b/loftroute/relay/units.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 from loftroute import invariants
-from loftroute.config import Transport
 from loftroute.decision import interface as i
 from loftroute.protocol import ProtocolError, resp
 from loftroute.protocol.catalog import Address, Listing
@@ -16,6 +15,7 @@
 from loftroute.relay.keepalive import KeepAlive
 from loftroute.runtime.scheduler import Mailbox, Scheduler, spawn_actor
 from loftroute.runtime.stream import ConnectionClosedError, DeadlineExceededError, Stream
+from loftroute.transport import Transport
 
 # Result of an attempt that was not sent completely: the unit ignores an incomplete request.
 NEVER_RAN = AttemptResult(i.Outcome.CONNECT_FAILED)
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from loftroute.config import Transport
 from loftroute.lab.standins import Unit, command
+from loftroute.transport import Transport
 from tests.stepped import ask, got, served, value
 
 LOST_S = 0.5 + 0.05  # a request is lost if it is answered later than that after its deadline
--- a/tests/test_client_presence.py
+++ b/tests/test_client_presence.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from loftroute.config import Transport
 from loftroute.relay.client_presence import ClientPresence
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.read_ahead import ReadAhead
+from loftroute.transport import Transport
 from tests.stepped import ask, got
 from tests.test_clients_that_left import answer_all, ask_with_body, send_more_than_buffers_hold, warm_up
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from loftroute import config
 from loftroute.bench import codec
 from loftroute.decision import interface
+from loftroute.module_settings import read_settings
 from tests.harness import SECOND, Relay, setup
 
 ROOT = Path(__file__).parent.parent
@@ -79,14 +79,14 @@
 
 
 def test_unknown_settings_are_skipped_and_absent_ones_have_defaults():
-    parsed = config.settings({**setup(), "new_key": 1})
+    parsed = read_settings({**setup(), "new_key": 1})
     assert parsed.release.control is interface.Control.SHARE and parsed.overload_multiple == 2.5
-    defaults = config.settings({})
+    defaults = read_settings({})
     assert defaults.instances == 1 and defaults.classes == () and defaults.start_capacity == 1.0
     assert (
-        config.settings(setup(family_info__decided_by="automatic")).release.control is interface.Control.TIMER
+        read_settings(setup(family_info__decided_by="automatic")).release.control is interface.Control.TIMER
     )
-    assert config.settings(setup(family_info__replace_mode="replace")).release.in_place
+    assert read_settings(setup(family_info__replace_mode="replace")).release.in_place
 
 
 def test_an_empty_batch_gets_an_empty_reply_and_the_end_of_input_is_clean():
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from loftroute import config
 from loftroute.decision import interface
 from loftroute.lab.cold_servers import (
     CORES,
@@ -28,12 +27,13 @@
 )
 from loftroute.lab.fleet import Fleet, Unit
 from loftroute.lab.setup import MS, SECOND, setup
+from loftroute.module_settings import read_settings
 
 SEED = 1
 LEAST_USED = 0.2  # share of the work that the settings allow
 LEAST_TAKEN = 0.5  # share of the offered work, where that is less
 
-SETTINGS = config.settings(setup())  # capacity rises from 0.3 within 4 s; 2.5 times the capacity within 1 s
+SETTINGS = read_settings(setup())  # capacity rises from 0.3 within 4 s; 2.5 times the capacity within 1 s
 STARTED = 10 * SECOND
 
 
--- a/tests/test_cold_servers_input.py
+++ b/tests/test_cold_servers_input.py
@@ -10,11 +10,12 @@
 
 import pytest
 
-from loftroute import config
+from loftroute.config_section import ConfigError
 from loftroute.decision import interface
 from loftroute.lab.cold_servers import DEADLINE, Result, ScenarioRun, all_restarted, taken_back
 from loftroute.lab.fleet import LATE_NEWS, Fleet, Unit
 from loftroute.lab.setup import SECOND, setup
+from loftroute.module_settings import read_settings
 from tests.test_cold_servers import faults
 
 HOUR, YEARS = 3600 * SECOND, 10**18
@@ -95,16 +96,16 @@
 @pytest.mark.parametrize("value", ["4s", True, 0.5, float("nan"), float("inf"), [4]])
 @pytest.mark.parametrize("key", ["cold", "fall"])
 def test_a_time_that_is_not_a_whole_number_is_an_error_that_names_it(key, value):
-    with pytest.raises(config.ConfigError, match=rf"obligations\.{key}: a whole number wanted, found"):
-        config.settings(setup(**{f"obligations__{key}": value}))
+    with pytest.raises(ConfigError, match=rf"obligations\.{key}: a whole number wanted, found"):
+        read_settings(setup(**{f"obligations__{key}": value}))
 
 
 @pytest.mark.parametrize("value", ["0.3", True, float("nan"), float("inf"), float("-inf")])
 @pytest.mark.parametrize("key", ["start_capacity", "fall_multiple"])
 def test_a_share_or_a_multiple_that_is_not_a_finite_number_is_an_error_that_names_it(key, value):
     """With an infinite value no server had a valid capacity share, and cold servers had no bound."""
-    with pytest.raises(config.ConfigError, match=rf"obligations\.{key}: a .*number wanted, found"):
-        config.settings(setup(**{f"obligations__{key}": value}))
+    with pytest.raises(ConfigError, match=rf"obligations\.{key}: a .*number wanted, found"):
+        read_settings(setup(**{f"obligations__{key}": value}))
 
 
 NONSENSICAL = [
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,12 +11,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from loftroute.config import Transport
 from loftroute.lab.standins import Unit, command, eventually
 from loftroute.protocol import IncompleteMessageError, ProtocolError, resp
 from loftroute.relay.message_budget import MessageBudget
 from loftroute.runtime.memory import MemoryAccount
 from loftroute.runtime.stream import Buffer, Stream
+from loftroute.transport import Transport
 from tests.stepped import MS, ask, got, reset, served, served_at, value
 from tests.test_protocol import joined, quick
 from tests.test_runtime import fill
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -16,7 +16,6 @@
 import pytest
 from click.testing import CliRunner
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
 from loftroute.lab.scale import (
@@ -35,6 +34,7 @@
 from loftroute.lab.scale.plan import EventKind, EventPlan, RealPlan
 from loftroute.lab.setup import MS, SECOND
 from loftroute.lab.standins import ROOT
+from loftroute.module_settings import read_settings
 from loftroute.protocol import IncompleteMessageError, ProtocolError, http1
 from loftroute.protocol.catalog import ENTRIES_LIMIT, Catalog
 
@@ -271,7 +271,7 @@
 
 
 def new_balancer(listed: i.ServerList) -> Balancer:
-    module = Balancer(config.settings(workload.raw_settings(520)), 1)
+    module = Balancer(read_settings(workload.raw_settings(520)), 1)
     module.handle(100 * SECOND, i.Started())
     module.handle(100 * SECOND, listed)
     module.handle(100 * SECOND, workload.released())
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
 from loftroute.lab.setup import MS, SECOND, setup
+from loftroute.module_settings import read_settings
 from loftroute.subset import assignment
 from loftroute.subset.assignment import Assignment
 from loftroute.subset.blocks import Block
@@ -407,7 +407,7 @@
 @pytest.mark.parametrize("units", [12, 300])
 @pytest.mark.parametrize("name", ["asked", "share", "rough"])
 def test_with_a_short_list_the_module_does_the_same_as_without_a_pool(name, units):
-    settings = config.settings(json.loads(json.dumps(site(name))))
+    settings = read_settings(json.loads(json.dumps(site(name))))
     bare, with_pool = Balancer(settings, 7), ModuleWithPool(settings, 7, connection_limit=100)
     kinds, sent = set(), Counter()
     for now, event, sends in stream(random.Random(f"{name} {units}"), settings, units):
--- a/tests/test_subset_fleet.py
+++ b/tests/test_subset_fleet.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from loftroute import config
 from loftroute.decision import interface as i
 from loftroute.decision.policy import COLD_BUDGET_SHARE, Balancer
 from loftroute.lab.setup import MS, SECOND, setup
+from loftroute.module_settings import read_settings
 from loftroute.subset.plan import Limits
 from loftroute.subset.pool import Pool
 from tests.subset_fleet import entry, full_list
@@ -31,7 +31,7 @@
         self.modules: list[Balancer] = []
         self.pools: list[Pool] = []
         for index in range(RELAYS):
-            settings = config.settings(setup(instances=RELAYS, self_index=index))
+            settings = read_settings(setup(instances=RELAYS, self_index=index))
             self.modules.append(Balancer(settings, index))
             self.pools.append(Pool(index, RELAYS, 60, LIMITS))
             self._handle(index, i.Started())
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -6,7 +6,7 @@
 import pytest
 
 from loftroute import config
-from loftroute.config import Transport
+from loftroute.config_section import Section
 from loftroute.decision import interface as i
 from loftroute.protocol import jobs
 from loftroute.protocol.catalog import Address, Listing
@@ -14,6 +14,7 @@
 from loftroute.relay.units import Attempt, Units
 from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import Scheduler
+from loftroute.transport import Transport
 
 MS, SECOND = 1_000_000, 1_000_000_000
 ANSWER = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n"
@@ -213,7 +214,7 @@
     """With a shorter time, a relay that uses a unit every four seconds would dial for each attempt."""
 
     def idle_timeout_ns(**ceilings):
-        return config._transport(config.Section({"ceilings": ceilings})).idle_timeout_ns
+        return config._transport(Section({"ceilings": ceilings})).idle_timeout_ns
 
     assert idle_timeout_ns(conn_idle=30 * SECOND) == 20 * SECOND
     assert idle_timeout_ns(conn_idle=300 * MS) == 200 * MS
