--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -243,6 +243,6 @@
 @sites
 @pytest.mark.parametrize("seed", parse_seeds(os.environ.get("SLOW_DISCOVERY_SEEDS", "1-6")))
 def test_agents_with_mixed_trouble_are_heard(world, site, seed):
-    """Guards against trouble in combination; SLOW_DISCOVERY_SEEDS=FIRST-LAST in the environment plays more."""
+    """Guards against trouble in combination; SLOW_DISCOVERY_SEEDS in the environment names other seeds."""
     relay, agent = start(world, site)
     play(relay, agent, seed, 60)
