--- a/tests/stepped_agent.py
+++ b/tests/stepped_agent.py
@@ -1,13 +1,13 @@
 """An agent of discovery for a stepped relay, which answers at once, late, in pieces or never."""
 
-import contextlib
 import json
 import re
 import socket
 from dataclasses import dataclass
 from typing import Any
 
-from tests.stepped import MS, SECOND, SteppedRelay, got
+from tests.stepped import MS, SECOND, SteppedRelay
+from tests.stepped_server import SteppedServer
 
 REQUEST = re.compile(rb"GET /catalog/members(?:\?index=(\d+)&wait=(\d+))? HTTP/1.1\r\n(?:[^\r]+\r\n)*\r\n")
 
@@ -40,7 +40,7 @@
     pieces: list[tuple[int, bytes]] | None = None
 
 
-class SteppedAgent:
+class SteppedAgent(SteppedServer):
     """The agent of a stepped relay.
 
     Attributes:
@@ -54,84 +54,51 @@
     """
 
     def __init__(self, relay: SteppedRelay) -> None:
-        self._relay, self._listener = relay, relay.discovery
-        self._listener.setblocking(False)
-        relay.scheduler._max_wait = relay.scheduler._min_interval = 0  # only the test's time passes
+        super().__init__(relay, relay.discovery)
         self.version, self._states = 1, dict.fromkeys(relay.units, ("SERVING", 1))
         self.delay_ns = self.spread_ns = self.service_ns = 0
         self.silent = False
         self.calls: list[int] = []
         self.bytes_sent = 0
-        self._received: dict[socket.socket, bytes] = {}
         self._open_calls: list[Call] = []
         self._busy_until = 0
 
     @property
     def connections(self) -> int:
         """Number of connections that the relay holds."""
-        return len(self._received)
+        return len(self.received)
 
     def change(self, **states: str) -> None:
         """Change the states of units by id."""
         self.version += 1
         self._states.update({name: (state, self.version) for name, state in states.items()})
 
-    def run(self, ms: float, step_ms: float = 20) -> None:
-        """Let time pass for the relay and the agent."""
-        until = self._relay.clock.now() + ms * MS
-        while self._relay.clock.now() < until:
-            self._relay.step(step_ms, 1)
-            self.turn()
-            self._relay.turn()
-
     def turn(self) -> None:
         """Read the calls that have arrived, and send what is due."""
-        self._accept()
-        for peer in list(self._received):
-            self._read(peer)
+        super().turn()
+        for peer in self.received:
+            self._take_calls(peer)
         if self.silent:
             self._open_calls.clear()
         for call in list(self._open_calls):
             self._answer(call)
 
-    def _accept(self) -> None:
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                peer, _ = self._listener.accept()
-                peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self._received[peer] = b""
-
-    def _read(self, peer: socket.socket) -> None:
-        try:
-            self._received[peer] += got(peer)
-            ended = peer.recv(1) == b""
-        except BlockingIOError:
-            ended = False
-        except OSError:
-            ended = True
-        if ended:
-            self.disconnect(peer)
-            return
-        while match := REQUEST.match(self._received[peer]):
-            self._received[peer] = self._received[peer][match.end() :]
+    def _take_calls(self, peer: socket.socket) -> None:
+        """Note the calls that were read on a connection."""
+        while match := REQUEST.match(self.received[peer]):
+            self.received[peer] = self.received[peer][match.end() :]
             since, wait_ms = match.groups()
             now = self._relay.clock.now()
             self.calls.append(now)
             self._open_calls.append(
-                Call(peer, now, since and int(since), int(wait_ms or 0) * MS)  # type: ignore[arg-type]
+                Call(peer, now, None if since is None else int(since), int(wait_ms or 0) * MS)
             )
 
     def disconnect(self, peer: socket.socket) -> None:
-        """Close a connection."""
-        peer.close()
-        del self._received[peer]
+        """Close a connection and forget its calls."""
+        super().disconnect(peer)
         self._open_calls = [call for call in self._open_calls if call.peer is not peer]
 
-    def disconnect_all(self) -> None:
-        """Close all connections, as an agent does that starts anew."""
-        for peer in list(self._received):
-            self.disconnect(peer)
-
     def _answer(self, call: Call) -> None:
         """Make the answer to a call if it is time, and send the pieces that are due."""
         now = self._relay.clock.now()
--- a/tests/stepped_platform.py
+++ b/tests/stepped_platform.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from loftroute.protocol.catalog import Address
-from tests.stepped import MS, SECOND, SteppedRelay, got
+from tests.stepped import SECOND, SteppedRelay
+from tests.stepped_server import SteppedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEARTBEAT_NS = SECOND
@@ -24,51 +25,41 @@
 
     Attributes:
         sock: its socket.
-        received: what was read and not handled yet.
         heartbeat_at: when the next heartbeat of a stream is due (ns); None if it is no stream.
         queue: data to send, and when.
         is_forgotten: whether nothing is sent on it any more.
     """
 
     sock: socket.socket
-    received: bytes = b""
     heartbeat_at: int | None = None
     queue: list[tuple[int, bytes]] = field(default_factory=list)
     is_forgotten: bool = False
 
 
-class SteppedPlatform:
+class SteppedPlatform(SteppedServer):
     """The platform of a stepped relay.
 
     Attributes:
+        address: its address.
         state: state of the release.
         delay_ns: how long after its time each byte is sent.
         spread_ns: how long after the first byte of a line its last one is sent.
         silent: whether nothing is told; streams that are open or opened meanwhile stay silent for good.
         streams: when each stream was asked for (ns).
         votes: when each vote came (ns).
+        peers: the open connections, oldest first.
     """
 
     def __init__(self, relay: SteppedRelay) -> None:
-        self._relay = relay
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._listener.setblocking(False)
-        self.address = Address(*self._listener.getsockname())
+        listener = socket.create_server(("127.0.0.1", 0))
+        super().__init__(relay, listener)
+        self.address = Address(*listener.getsockname())
         self.state = state(0, 0.2)
         self.delay_ns = self.spread_ns = 0
         self.silent = False
         self.streams: list[int] = []
         self.votes: list[int] = []
         self.peers: list[Peer] = []
-        relay.scheduler._max_wait = relay.scheduler._min_interval = 0  # only the test's time passes
-
-    def run(self, ms: float, step_ms: float = 20) -> None:
-        """Let time pass for the relay and the platform."""
-        until = self._relay.clock.now() + ms * MS
-        while self._relay.clock.now() < until:
-            self._relay.step(step_ms, 1)
-            self.turn()
-            self._relay.turn()
 
     def change(self, **changes: Any) -> None:
         """Change the state and tell it on all streams."""
@@ -77,44 +68,27 @@
             if peer.heartbeat_at is not None:
                 self._tell(peer, self._state_line())
 
-    def close(self) -> None:
-        """Close all sockets."""
-        for peer in self.peers:
-            peer.sock.close()
-        self._listener.close()
-
     def turn(self) -> None:
         """Read what has arrived, and send what is due."""
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                sock, _ = self._listener.accept()
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.peers.append(Peer(sock))
-        self.peers = [peer for peer in self.peers if self._read(peer)]
+        super().turn()
+        known = {peer.sock for peer in self.peers}
+        self.peers += [Peer(sock) for sock in self.received if sock not in known]
         for peer in self.peers:
+            if b"\r\n\r\n" in self.received[peer.sock]:
+                self._handle(peer)
             peer.is_forgotten = peer.is_forgotten or self.silent
             self._send(peer)
 
-    def _read(self, peer: Peer) -> bool:
-        """Read from a connection; return whether it is still open."""
-        with contextlib.suppress(OSError):
-            peer.received += got(peer.sock)
-        try:
-            if peer.sock.recv(1) == b"":
-                peer.sock.close()
-                return False
-        except BlockingIOError:
-            pass
-        except OSError:
-            peer.sock.close()
-            return False
-        if b"\r\n\r\n" in peer.received:
-            self._handle(peer)
-        return True
+    def disconnect(self, peer: socket.socket) -> None:
+        """Close a connection."""
+        super().disconnect(peer)
+        self.peers = [other for other in self.peers if other.sock is not peer]
 
     def _handle(self, peer: Peer) -> None:
-        now, received, peer.received = self._relay.clock.now(), peer.received, b""
-        if received.startswith(b"GET /apis/fleet/changes"):
+        """Take a request."""
+        now, request = self._relay.clock.now(), self.received[peer.sock]
+        self.received[peer.sock] = b""
+        if request.startswith(b"GET /apis/fleet/changes"):
             self.streams.append(now)
             peer.queue.append((now + self.delay_ns, HEAD))
             peer.heartbeat_at = now + HEARTBEAT_NS
