One way to drop all open calls to discovery

CallSchedule.close_others had a parameter that nobody used, and change_agent the same lines again. Behaviour unchanged; tests of lists, reloads and slow agents pass.

--- a/loftroute/relay/call_schedule.py
+++ b/loftroute/relay/call_schedule.py
@@ -75,11 +75,10 @@
 
     def change_agent(self, now: int) -> list[ListCall]:
         """Begin with another agent, which is asked for the full list at once; return the calls to close."""
-        closed, self.open_calls, self.current = self.open_calls, [], None
         self._suspended, self._answer_delay = False, 0
         self._earliest_start = now
         self.order_fetch()
-        return closed
+        return self.drop_open_calls()
 
     # ---- the next call
 
@@ -198,11 +197,9 @@
         shortest = max(longest - call.wait_ns, 0)
         return min(max(self._answer_delay, shortest), longest) if has_changes else shortest
 
-    def close_others(self, call: ListCall | None = None) -> list[ListCall]:
-        """Return all open calls but `call`, which are to be closed."""
-        closed = [other for other in self.open_calls if other is not call]
-        self.open_calls = [other for other in self.open_calls if other is call]
-        self.current = self.current if self.current is call else None
+    def drop_open_calls(self) -> list[ListCall]:
+        """Return all open calls, which are to be closed."""
+        closed, self.open_calls, self.current = self.open_calls, [], None
         return closed
 
     def take_expired(self, now: int) -> list[ListCall]:
--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -250,6 +250,6 @@
             return
         if standing is ListStanding.RENUMBERED:
             logger.warning("discovery: version {} after {}, for good", event.version, known)
-            self._close_calls(self._schedule.close_others())  # their answers may have the old numbering
+            self._close_calls(self._schedule.drop_open_calls())  # their answers may have the old numbering
         if event.kind is i.ListKind.FULL or event.entries or self._starts_on_order:
             self._module.handle_listing(listing)
