Bound the unfinished answers of all calls to discovery by 1 MiB

The first form let them together be as long as the longest document, 4 MiB, which a relay of 32 MB does not have beside its program: calls that an agent with the list of a large fleet leaves half answered. Beyond 1 MiB the second oldest call gives way to the next; the oldest and the newest stay, so one long list still comes.

--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -127,9 +127,9 @@
         self._tasks[call] = self._scheduler.spawn("discovery call", lambda: self._make_call(call))
 
     def _is_memory_exceeded(self) -> bool:
-        """Return whether the unfinished answers together are longer than the longest document."""
+        """Return whether the unfinished answers together take too much memory."""
         buffered_bytes = sum(len(stream.buffer.data) for stream in self._streams.values())
-        return buffered_bytes > self._transport.max_document_bytes
+        return buffered_bytes > self._transport.max_unfinished_list_bytes
 
     def _close_calls(self, calls: list[ListCall]) -> None:
         for call in calls:
--- a/loftroute/transport.py
+++ b/loftroute/transport.py
@@ -37,6 +37,8 @@
     list_change_limit_ns: int = 5_500_000_000
     # Open calls to discovery, of which all but one are overdue. Beyond this the second oldest is closed.
     max_open_calls: int = 8
+    # Unfinished answers of all open calls together. Beyond this the second oldest call is closed.
+    max_unfinished_list_bytes: int = 1 << 20
     # Lists with a lower version than the current one are treated as stale for this long.
     stale_list_grace_ns: int = 2_000_000_000
     # Time after the start that readiness waits for the first release news from the platform.
