Stand-in of discovery: a name for its delay that no case uses for its own

Cause: review/7's agent derives from the lab's and has a delay_s of its own. Since the stand-in had one too, so that the case played answers 1.4 s late in place of 0.7: its record says 'late_s 0.7' and the relay's log 'answered after 2441 ms' for a wait of 1000. Now the stand-in's is answer_delay_s; the case plays as it was written.

--- a/loftroute/lab/departures/play.py
+++ b/loftroute/lab/departures/play.py
@@ -88,7 +88,7 @@
             loop.call_after(group.at_s, partial(client.start, self._relay.port))
         for event in plan.signals:
             loop.call_after(event.at_s, partial(self._signal, event))
-        self._relay.discovery.delay_s = plan.agent_delay_s
+        self._relay.discovery.answer_delay_s = plan.agent_delay_s
         if plan.drain_at_s is not None:
             loop.call_after(plan.drain_at_s, self._drain)
         loop.call_after(plan.length_s, self._terminate)
--- a/loftroute/lab/standins.py
+++ b/loftroute/lab/standins.py
@@ -189,14 +189,14 @@
     Attributes:
         behavior: `serve`, `silent` (closes the connection without an answer after 1 s) or `garbage` (answers
             malformed JSON).
-        delay_s: By how much each answer is sent late.
+        answer_delay_s: By how much each answer is sent late.
         calls: Paths of the requests received.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.version, self.entries, self.calls = 1, {}, []
-        self.behavior, self.delay_s = "serve", 0.0
+        self.behavior, self.answer_delay_s = "serve", 0.0
         self.changed = threading.Condition()
 
     def change(self, **entries: dict[str, Any]) -> None:
@@ -230,7 +230,7 @@
         with self.changed:
             self.changed.wait_for(lambda: self.version > since, int(query.get("wait", ["0"])[0]) / 1000)
             listing = self.listing(since)
-        time.sleep(self.delay_s)
+        time.sleep(self.answer_delay_s)
         self.answer(handler, 200, listing)
 
 
