Calls to a silent agent: the measured figure and its bound; an unused count goes

Cause: reading the whole change again. The docstring said 25 and 6 calls in 20 s of silence before the change; 6 had not been measured. SteppedAgent.bytes_sent was read by nothing.

--- a/tests/stepped_agent.py
+++ b/tests/stepped_agent.py
@@ -50,7 +50,6 @@
         service_ns: how long it takes to make an answer, one after the other.
         silent: whether calls that arrive are never answered, and open ones are forgotten.
         calls: when each call arrived (ns).
-        bytes_sent: bytes of answers.
     """
 
     def __init__(self, relay: SteppedRelay) -> None:
@@ -59,7 +58,6 @@
         self.delay_ns = self.spread_ns = self.service_ns = 0
         self.silent = False
         self.calls: list[int] = []
-        self.bytes_sent = 0
         self._open_calls: list[Call] = []
         self._busy_until = 0
 
@@ -109,7 +107,6 @@
             call.pieces = self._pieces(call.since, now)
         while call.pieces and call.pieces[0][0] <= now:
             _, piece = call.pieces.pop(0)
-            self.bytes_sent += len(piece)
             call.peer.sendall(piece)
         if not call.pieces:
             self._open_calls.remove(call)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -118,12 +118,12 @@
 
 @sites
 def test_a_silent_agent_gets_no_more_calls_than_before(world, site):
-    """Guards against calls that stay open adding to those that follow them (measured before: 25 and 6)."""
+    """Guards against calls that stay open adding to those that follow them (25 and 7 before)."""
     _, agent = start(world, site)
     agent.silent = True
     before = len(agent.calls)
     agent.run(20_000)
-    assert len(agent.calls) - before <= {"zagreb-jobs": 25, "rijeka-quotes": 8}[site]
+    assert len(agent.calls) - before <= {"zagreb-jobs": 25, "rijeka-quotes": 7}[site]
     assert agent.connections <= MAX_CONNECTIONS
 
 
