Pair: a flush of the peer's records waits for the writes before it only

Callers saw: a pair whose preferred relay comes back under load does not give it the addresses while the load lasts, where a sync takes 25 ms or longer.

Cause: Pair._finish_flushes waited for a moment without any pending write. The peer mirrors each new request, so with long syncs there is none: the fenced relay never reports Synced.

Evidence: found while tracing one failure of test_the_preferred_relay_returns_under_load ("77 > 100"). With 30 ms more for each sync: "pair: linked to rb", "pair: fenced in epoch 2", then nothing for 15 s; "recall mirrored 1979 ... pair linked True"; in another play "fenced in epoch 2, synced" came 5.5 s later, when the load had ended. Ruled out: the witness (asked 193 times, answered), the connection (up throughout), the VRRP priority (the fence held it down, as it must).

Change: writes are numbered, a flush covers those that had started (pair/peer_writes.py). Synced still states that all records before SyncEnd are durable.

The new test with slow disks fails without the fix ("the condition did not become true in time").

--- a/loftroute/lab/pairs.py
+++ b/loftroute/lab/pairs.py
@@ -51,7 +51,8 @@
     """A pair of relays, its witness, and the stand-ins around them.
 
     `interval` is the advertisement interval in centiseconds, `patience` the setting `patience_ms`; `kill` is
-    a kill point for relay 0, see lab/killer.py.
+    a kill point for relay 0, see lab/killer.py; `sync_delay_ms` is the time by which each sync of a relay's
+    disk takes longer, see lab/slow_disk.py. At most one of the latter two is set.
 
     Attributes:
         key: File with the keys of the pair.
@@ -69,6 +70,7 @@
         patience: int = 300,
         preempt: bool = True,
         kill: str = "",
+        sync_delay_ms: int = 0,
     ) -> None:
         self.folder, self.rng = folder, random.Random(seed)
         self.units = {f"u{n}": CountingUnit("a", 0.003) for n in range(3)}
@@ -113,11 +115,12 @@
   witness: "{self.witness_proxies[n].address}" key_file: "{self.key}" patience_ms: {patience} again_ms: 50
 }}
 '''
-            options = (
-                {"program": "loftroute.lab.killer", "env": {"LOFTROUTE_KILL": kill}}
-                if kill and n == 0
-                else {}
-            )
+            options: dict[str, object] = {}
+            if kill and n == 0:
+                options = {"program": "loftroute.lab.killer", "env": {"LOFTROUTE_KILL": kill}}
+            elif sync_delay_ms:
+                environment = {"LOFTROUTE_SYNC_DELAY_MS": str(sync_delay_ms)}
+                options = {"program": "loftroute.lab.slow_disk", "env": environment}
             self.relays.append(PairRelay(relay_folder, self.units, product, **options))
         for relay in self.relays:
             relay.may_start = True
--- a/loftroute/pair/link.py
+++ b/loftroute/pair/link.py
@@ -48,6 +48,7 @@
     WitnessRecord,
     WitnessRequest,
 )
+from loftroute.pair.peer_writes import PeerWrites
 from loftroute.protocol import ProtocolError
 from loftroute.protocol.catalog import Address
 from loftroute.runtime.scheduler import MS, Scheduler, Task
@@ -132,8 +133,7 @@
         self.counters: Counter[str] = Counter()
         self._listener = Listener(scheduler, listen, 16)
         self._no_link_until = 0  # ns; no connection to the peer before, see STORE_FAILURE_BACKOFF
-        self._writes_pending = 0  # records of the peer that are not durable yet
-        self._pending_flushes: list[int] = []  # connection numbers of `FlushRecords` actions
+        self._peer_writes = PeerWrites()
         scheduler.spawn("pair listener", self._listen)
         if name < peer_name:
             scheduler.spawn("pair dial", self._dial)
@@ -219,7 +219,7 @@
         elif isinstance(action, SendRecords):
             self._send_records()
         elif isinstance(action, FlushRecords):
-            self._flush_records()
+            self._finish_flushes(self._peer_writes.flush(self._connection_number))
         elif isinstance(action, AskWitness):
             if action.request.alone and (
                 self._store.stopped or self._scheduler.clock.now() < self._no_link_until
@@ -239,10 +239,10 @@
     def _store_record(self, action: StoreRecord) -> None:
         """Store a record of the peer; if that fails, drop the connection so that the peer becomes alone."""
         connection_number = self._connection_number
-        self._writes_pending += 1
+        write_number = self._peer_writes.start()
 
         def done(problem: StoreError | None) -> None:
-            self._writes_pending -= 1
+            ended_flushes = self._peer_writes.end(write_number)
             if problem is None and action.number and connection_number == self._connection_number:
                 self._handle(RecordStored(action.number))
             if problem is not None and connection_number == self._connection_number and self._connection:
@@ -252,21 +252,14 @@
                 )
                 self._connection.close()  # else the peer would take the record for durable
                 self._connection_lost()
-            if not self._writes_pending:
-                self._finish_flushes()
+            self._finish_flushes(ended_flushes)
 
         assert self.records is not None
         self.records.mirror(action.id, action.record, bool(action.number), done)
 
-    def _flush_records(self) -> None:
-        self._pending_flushes.append(self._connection_number)
-        if not self._writes_pending:
-            self._finish_flushes()
-
-    def _finish_flushes(self) -> None:
+    def _finish_flushes(self, connection_numbers: list[int]) -> None:
         """Complete the flushes of this connection: all records received before them are durable."""
-        flushes, self._pending_flushes = self._pending_flushes, []
-        for connection_number in flushes:
+        for connection_number in connection_numbers:
             if connection_number == self._connection_number:
                 self._handle(RecordStored(0))
 
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -45,6 +45,7 @@
     WitnessRecord,
     WitnessRequest,
 )
+from loftroute.pair.peer_writes import PeerWrites
 from loftroute.protocol import IncompleteMessageError, ProtocolError
 from loftroute.recall.decisions import RequestRecord, RunState, is_newer
 from loftroute.vrrp.envelope import Keys
@@ -298,6 +299,45 @@
         own.complete(greeting_of(wrong_key)).inward.open(forged[4:])
 
 
+# ---- flushes of the peer's records
+
+
+def test_a_flush_waits_for_the_writes_before_it_only():
+    """Under steady load there is always a write that has not ended."""
+    writes = PeerWrites()
+    assert writes.flush(1) == [1]
+    first, second = writes.start(), writes.start()
+    assert writes.flush(2) == []
+    third = writes.start()
+    assert writes.end(second) == []
+    assert writes.end(first) == [2]
+    assert writes.flush(3) == []
+    assert writes.end(third) == [3]
+    assert writes.flush(4) == [4]
+
+
+@given(st.lists(st.sampled_from(["start", "end oldest", "end newest", "flush"]), max_size=60))
+def test_flushes_end_once_in_order_and_never_before_a_write_that_they_cover(steps):
+    writes, open_writes, covered, ended = PeerWrites(), [], {}, []
+    for number, step in enumerate(steps):
+        if step == "start":
+            open_writes.append(writes.start())
+            continue
+        if step == "flush":
+            covered[number] = set(open_writes)
+            now_ended = writes.flush(number)
+        elif open_writes:
+            write = open_writes.pop(0 if step == "end oldest" else -1)
+            now_ended = writes.end(write)
+        else:
+            continue
+        assert all(not covered[flush] & set(open_writes) for flush in now_ended)
+        ended += now_ended
+    for write in open_writes:
+        ended += writes.end(write)
+    assert ended == list(covered)
+
+
 # ---- two real relays with a witness and a switch
 
 
@@ -415,32 +455,53 @@
     assert time.monotonic() - begun < 0.4
 
 
-def test_the_preferred_relay_returns_under_load(start_duo):
-    """It preempts only when it has the peer's records. Open requests are answered, and none runs twice."""
-    duo = start_duo()
-    duo.kill(0)
-    eventually(lambda: duo.status(1)["mode"] == "alone")
-    names, answers, stop = [], [], threading.Event()
+@contextlib.contextmanager
+def load_on(duo):
+    """Six clients send each request twice through the switch; yields their pairs of answers."""
+    answers, stop = [], threading.Event()
 
     def ask():
         while not stop.is_set():
-            names.append(name := Relay.id())
+            name = Relay.id()
             answers.append([duo.ask(duo.switch.proxy.port, name), duo.ask(duo.switch.proxy.port, name)])
 
     threads = [threading.Thread(target=ask) for _ in range(6)]
     for thread in threads:
         thread.start()
-    duo.start(0)
-    eventually(lambda: duo.switch.holders == {duo.at(0)}, 15)
-    time.sleep(0.5)
-    stop.set()
-    for thread in threads:
-        thread.join()
+    try:
+        yield answers
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join()
+
+
+def test_the_preferred_relay_returns_under_load(start_duo):
+    """It preempts only when it has the peer's records. Open requests are answered, and none runs twice."""
+    duo = start_duo()
+    duo.kill(0)
+    eventually(lambda: duo.status(1)["mode"] == "alone")
+    with load_on(duo) as answers:
+        duo.start(0)
+        eventually(lambda: duo.switch.holders == {duo.at(0)}, 15)
+        time.sleep(0.5)
     assert max(duo.runs().values()) == 1 and len(answers) > 100
     assert sum(served(calls[0]) for calls in answers) > 0.8 * len(answers)
     assert all(served(again) for first, again in answers if served(first) and again is not None)
 
 
+def test_the_preferred_relay_returns_under_load_with_slow_disks(start_duo):
+    """Guards against a fenced relay that waits for a moment without writes before it reports to be synced."""
+    duo = start_duo(sync_delay_ms=40)
+    duo.kill(0)
+    eventually(lambda: duo.status(1)["mode"] == "alone")
+    with load_on(duo) as answers:
+        duo.start(0)
+        eventually(lambda: duo.switch.holders == {duo.at(0)}, 15)
+    assert max(duo.runs().values()) == 1
+    assert all(served(again) for first, again in answers if served(first) and again is not None)
+
+
 @pytest.mark.parametrize("point", ["claim answered", "request sent", "unit answered"])
 def test_clients_ask_the_other_relay_after_the_active_is_killed_around_the_write(tmp_path, point):
     duo = Duo(tmp_path, kill=f"{point}:5")
