Pair test: the load goes on until it has its hundred answers

Cause of the one red run ("assert (1 == 1 and 77 > 100)"): the test counts the answers of a fixed time, about 1.5 s, and each new request needs syncs of two disks. Traced with slower syncs, pairs of answers in that time, three plays each: none added 501 to 522, 10 ms 253 to 352, 20 ms 221 to 408 (the return came late), 60 ms 73 to 96. All printed answers of the red run were values, none ran twice. Busy processors do not explain it: 16 and 40 busy processes, 248 to 546.

Change: the load goes on until there are over 100, for at most 8 s more. The check is the same, and the return still happens under the full load before.

--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -485,6 +485,7 @@
         duo.start(0)
         eventually(lambda: duo.switch.holders == {duo.at(0)}, 15)
         time.sleep(0.5)
+        eventually(lambda: len(answers) > 100)  # on a slow disk it takes longer
     assert max(duo.runs().values()) == 1 and len(answers) > 100
     assert sum(served(calls[0]) for calls in answers) > 0.8 * len(answers)
     assert all(served(again) for first, again in answers if served(first) and again is not None)
