--- a/loftroute/decision/interface.py
+++ b/loftroute/decision/interface.py
@@ -222,12 +222,16 @@
     cross_zone_price: float
 
 
+# Zones and cells from this number on are those of servers listed without one: no other server is in them.
+FIRST_PRIVATE_GROUP = 1 << 63
+
+
 @dataclass(slots=True, unsafe_hash=True)
 class ServerEntry:
     """A server as discovery lists it; `started` is the start of its process (ns), 0 if unknown."""
 
     server: int
-    zone: int
+    zone: int  # index in the settings, or a number made from its name, see protocol/groups.py
     cell: int
     machine_type: int  # index of the machine type
     build: int
--- a/loftroute/decision/state.py
+++ b/loftroute/decision/state.py
@@ -345,6 +345,9 @@
                 self.departed_starts[number] = server.entry.started
         while len(self.departed_starts) > UNLISTED_LIMIT:
             del self.departed_starts[next(iter(self.departed_starts))]
+        zones = {server.entry.zone for server in self.servers.values()}
+        for zone in self.zone_slowdowns.keys() - zones:
+            del self.zone_slowdowns[zone]
         builds = {server.entry.build for server in self.servers.values()}
         # Two builds without servers are kept: one may be the baseline build of the next build.
         for build in sorted(self.outcomes_by_build.keys() - builds)[:-2]:
--- a/loftroute/protocol/catalog.py
+++ b/loftroute/protocol/catalog.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from loftroute.decision import interface as i
-from loftroute.protocol import ProtocolError, parse_json, read_integer, read_number
+from loftroute.protocol import ProtocolError, groups, parse_json, read_integer, read_number
 
 BUILD_LIMIT = 65536  # number of possible builds
 ENTRIES_LIMIT = 10_000  # entries of one list
@@ -61,7 +61,7 @@
     An id keeps its number while it is listed, and for some time after that.
 
     Attributes:
-        zones: number of each zone by name.
+        zones: number of each zone that the settings name.
         kinds: number of each machine type by name.
         server_numbers: number of each unit by id.
     """
@@ -87,7 +87,7 @@
             kind = i.ListKind.FULL if document["reset"] else i.ListKind.DELTA
             if not isinstance(raw, list) or len(raw) > ENTRIES_LIMIT:
                 raise ValueError("instances: a list wanted")
-            by_name = {_name(item): (self._entry(item), _address(item)) for item in raw}
+            by_name = {(name := _name(item)): (self._entry(name, item), _address(item)) for item in raw}
             if len(by_name) != len(raw):
                 raise ValueError("instances: an id is listed twice")
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
@@ -118,7 +118,7 @@
             del self._unlisted[name], self.server_numbers[name]
             self._forgotten += 1
 
-    def _entry(self, raw: Mapping[str, Any]) -> i.ServerEntry:
+    def _entry(self, name: str, raw: Mapping[str, Any]) -> i.ServerEntry:
         state = STATES[raw["lifecycle"]]
         build = read_integer(raw, "release", 0 if state is i.ServerState.GONE else None)
         weight = read_number(raw, "weight", 1.0)
@@ -126,8 +126,8 @@
             raise ValueError(f"release {build}, weight {weight}")
         return i.ServerEntry(
             server=0,
-            zone=self.zones.get(raw.get("zone", ""), len(self.zones)),
-            cell=read_integer(raw, "cell", 0),
+            zone=self._zone(name, raw.get("zone")),
+            cell=_cell(name, raw),
             machine_type=self.kinds.get(raw.get("machineType", ""), len(self.kinds)),
             build=build,
             state=state,
@@ -135,6 +135,25 @@
             weight=weight,
         )
 
+    def _zone(self, server_name: str, zone: Any) -> int:
+        """Return the number of a zone; a server without one shares its zone with no other."""
+        zone_name = zone if zone is not None else ""
+        if not isinstance(zone_name, str) or len(zone_name) > NAME_LIMIT:
+            raise ValueError("zone: text wanted")
+        if zone_name in self.zones:
+            return self.zones[zone_name]
+        return groups.named_group(zone_name) if zone_name else groups.private_group(server_name)
+
+
+def _cell(server_name: str, raw: Mapping[str, Any]) -> int:
+    """Return the number of a cell; a server without one shares its cell with no other."""
+    if raw.get("cell") is None:
+        return groups.private_group(server_name)
+    cell = read_integer(raw, "cell")
+    if cell >= groups.FIRST_NAMED_GROUP:
+        raise ValueError(f"cell {cell}")
+    return cell
+
 
 def _name(raw: Mapping[str, Any]) -> str:
     name = raw["instanceId"]
--- a/loftroute/subset/blocks.py
+++ b/loftroute/subset/blocks.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
-from loftroute.decision.interface import ServerEntry
+from loftroute.decision.interface import FIRST_PRIVATE_GROUP, ServerEntry
 from loftroute.subset.dealing import BuildAssignment, Unit
 from loftroute.subset.hashing import mix
 from loftroute.subset.plan import Limits, Plan
@@ -109,7 +109,8 @@
             if unit := self._units.pop(number, None):
                 removed[unit.build].append(unit)
         for entry, key in usable:
-            unit = Unit(entry.server, mix(key ^ self._salt), entry.build, (entry.zone, entry.machine_type))
+            zone = min(entry.zone, FIRST_PRIVATE_GROUP)  # units without a zone are distributed as one
+            unit = Unit(entry.server, mix(key ^ self._salt), entry.build, (zone, entry.machine_type))
             before = self._units.get(unit.number)
             if before == unit:
                 continue
--- a/tests/test_crossings_units.py
+++ b/tests/test_crossings_units.py
@@ -628,6 +628,39 @@
     assert not named(actions, "FORWARD")
 
 
+@pytest.mark.parametrize("group", ["zone", "cell"])
+@pytest.mark.parametrize("named", [True, False])
+def test_a_keyed_request_stays_in_its_group_where_the_settings_do_not_name_it(world, group, named):
+    """Guards against a repeat in another group, where it takes effect again: unlisted ones had one number."""
+    service = {"name": "put", "effect": "keyed", "group": group, "window": 60 * SECOND}
+    cluster = world(units=4, services=[{**service, "aim": 2 * SECOND, "hard_limit": 3 * SECOND}])
+    listed = cluster.listed(generation=2)
+    for number, unit in enumerate(listed["instances"]):
+        del unit[group]
+        if named:
+            unit[group] = number % 2 if group == "cell" else f"hall {number % 2}"
+    cluster.relay.module.handle_listing(cluster.relay.config.catalog.read_document(listed))
+    client = cluster.client()
+    client.sendall(ask("booking", kind="put"))
+    receivers: list[int] = []
+
+    def reset_receivers() -> None:
+        for number, unit in enumerate(cluster.units.values()):
+            if b"booking" in unit.look():
+                receivers.append(number)
+                peer = unit.asked(b"booking")
+                unit.heard.pop(peer)
+                unit.peers.remove(peer)
+                reset(peer)
+
+    for _ in range(300):
+        reset_receivers()
+        cluster.step(10, 1)
+    assert len(receivers) > 1
+    assert len({number % 2 for number in receivers} if named else set(receivers)) == 1
+    assert got(client).startswith(b"-ERR")
+
+
 @pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
 def test_a_drain_during_a_dial_sends_the_attempt_elsewhere(world, state):
     cluster = world(backlog=0)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -58,6 +58,8 @@
         "OWN_DESCRIPTORS",
         "SECOND",
         "PROTOCOL_NUMBER",
+        "FIRST_NAMED_GROUP",
+        "FIRST_PRIVATE_GROUP",
         "INTERVAL_LIMIT",
     }
     runtime = {"decision", "protocol", "runtime", "relay", "bench", "subset"}
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -293,10 +293,42 @@
     assert str(second.addresses[entry.server]) == "10.1.0.19:6379" and second.event.entries[1].started == 0
 
 
+def read_entries(*changes, zones=("a", "b")):
+    """Read a list of units with these changes to `ENTRY`, in a catalog of its own; None removes a field."""
+    known = catalog.Catalog({name: number for number, name in enumerate(zones)}, {})
+    listed = [{**ENTRY, "instanceId": f"s-{number}", **change} for number, change in enumerate(changes)]
+    instances = [{key: held for key, held in unit.items() if held is not None} for unit in listed]
+    return known.read_document({"generation": 1, "reset": True, "instances": instances}).event.entries
+
+
+@pytest.mark.parametrize("count", [1, 3, 300])
+def test_each_zone_that_the_settings_do_not_name_is_a_group_of_its_own(count):
+    """Guards against a keyed request that is repeated in another of these zones, or in none."""
+    named = [{"zone": f"hall {number}"} for number in range(count)]
+    entries = read_entries(*named, *named, {"zone": "a"}, {"zone": None}, {"zone": ""}, {"zone": None})
+    zones = [entry.zone for entry in entries]
+    assert zones[:count] == zones[count : 2 * count] and zones[2 * count] == 0
+    assert len(set(zones)) == count + 4
+    again = read_entries(*reversed(named), zones=("b", "a", "c"))
+    assert [entry.zone for entry in reversed(again)] == zones[:count]
+
+
+def test_a_unit_without_a_cell_shares_its_cell_with_no_other():
+    cells = [entry.cell for entry in read_entries({"cell": None}, {"cell": 0}, {"cell": None}, {"cell": 0})]
+    assert cells[1] == cells[3] == 0 and len(set(cells)) == 3
+
+
+def test_the_zone_of_units_without_one_can_be_named_in_the_settings():
+    assert [entry.zone for entry in read_entries({"zone": ""}, {"zone": None}, zones=("a", ""))] == [1, 1]
+
+
 @pytest.mark.parametrize(
     "change",
     [
         {"instanceId": 7},
+        {"zone": 7},
+        {"zone": ["a"]},
+        {"zone": "a" * 257},
         {"hostPort": "nowhere"},
         {"lifecycle": "LOST"},
         {"release": -1},
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,6 +117,17 @@
         relay.wait(50 * MS)
 
 
+def test_what_is_known_of_zones_goes_with_their_units():
+    """Guards against memory that grows where each list names other zones."""
+    relay = Relay()
+    for zone in range(50):
+        relay.servers(f"{zone} 1 healthy 0 1 {zone} 0 0")
+        ref, _ = relay.ask()
+        relay.answer(ref, "Ok")
+        relay.wait(SECOND)
+    assert len(relay.instance.zone_slowdowns) < 20
+
+
 def test_a_keyed_request_is_retried_in_its_own_cell_only():
     settings = setup()
     settings["services"][1]["group"] = "cell"
