Starts of units are translated to the relay's clock before they are compared

Units saw: one that starts cold gets a warm unit's share in its first second if the clock that wrote its start is behind the relay's by 5 s or an hour.

Cause: the relay's time is its wall clock at its start plus a monotonic span; a told start is a moment on another clock. ServerState._new_start believed each start that it heard of first. units.py compared connections with it likewise.

Change: relay/start_times.py. The start of a process that appears is believed only between the last answer without that process and now; else it counts as now. An answer without changes confirms the list.

--- a/loftroute/relay/discovery.py
+++ b/loftroute/relay/discovery.py
@@ -253,3 +253,5 @@
             self._close_calls(self._schedule.drop_open_calls())  # their answers may have the old numbering
         if event.kind is i.ListKind.FULL or event.entries or self._starts_on_order:
             self._module.handle_listing(listing)
+        else:
+            self._module.handle_unchanged_list()
--- a/loftroute/relay/members.py
+++ b/loftroute/relay/members.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from loguru import logger
 
 from loftroute.config import Config
 from loftroute.decision import interface as i
 from loftroute.protocol.catalog import Address, Listing
+from loftroute.relay.start_times import StartTimes
 from loftroute.relay.units import Units
 from loftroute.runtime.scheduler import Mailbox
 from loftroute.subset.pool import Action, Pool
@@ -27,6 +29,7 @@
         self._now, self._units, self._mailbox = now, units, mailbox
         self._pool = Pool(settings.instance_index, settings.instances, config.budget.unit_connections)
         self._addresses: dict[int, Address] = {}
+        self._start_times = StartTimes()
         if not 0 <= settings.instance_index < settings.instances:
             logger.warning(
                 "subset: index {} is out of range for {} relays, taken modulo",
@@ -36,6 +39,7 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Apply a list; one that exceeds the registry's limit is logged and ignored."""
+        listing = replace(listing, event=self._start_times.translate(listing.event, self._now()))
         try:
             actions = self._pool.handle(self._now(), listing.event, listing.names)
         except ListTooLongError as problem:
@@ -48,6 +52,10 @@
             else:
                 self._handle_action(action)
 
+    def handle_unchanged_list(self) -> None:
+        """Handle an answer of discovery that brings no change."""
+        self._start_times.list_confirmed(self._now())
+
     def attempt_ended(self, server: int, outcome: i.Outcome) -> None:
         """Report the outcome of an attempt, which may widen or narrow the subset."""
         if self._pool.is_subset_active:
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -300,6 +300,10 @@
         """Apply a list of units from discovery."""
         self.members.handle_listing(listing)
 
+    def handle_unchanged_list(self) -> None:
+        """Handle an answer of discovery that brings no change."""
+        self.members.handle_unchanged_list()
+
     def handle_news(self, news: i.ReleaseNews) -> None:
         """Apply the release state of the platform; a lower cap stops dials that it no longer allows."""
         if news.status is i.Outcome.OK:
--- a/tests/stepped.py
+++ b/tests/stepped.py
@@ -113,12 +113,14 @@
     Attributes:
         units: the units by id.
         discovery: the listening socket of discovery.
+        started_ms: what the list tells of a unit's start, by id; 0 for all others (Unix time in ms).
         raw: the configuration.
         clients: the clients' ends of their connections.
     """
 
     def __init__(self, units: dict[str, Unit], limits: dict[str, Any] | None = None, **changes: Any) -> None:
         self.clock, self.units = Clock(), units
+        self.started_ms: dict[str, int] = {}
         self.discovery = socket.create_server(("127.0.0.1", 0))
         self.port = free_port()
         discovery_address = "{}:{}".format(*self.discovery.getsockname())
@@ -154,7 +156,7 @@
                     "cell": 0,
                     "lifecycle": states.get(name, "SERVING"),
                     "weight": 1.0,
-                    "startedAtMs": 0,
+                    "startedAtMs": self.started_ms.get(name, 0),
                     "release": 41,
                 }
                 for name, unit in self.units.items()
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,106 @@
+"""Starts that a list tells by a clock which is not the relay's (issue 57)."""
+
+from dataclasses import replace
+
+import pytest
+
+from loftroute.decision import interface as i
+from loftroute.relay.start_times import StartTimes
+from tests.stepped import MS, SECOND, Unit, ask, got, served
+from tests.stepped_agent import SITES, SteppedAgent
+
+HOUR = 3600 * SECOND
+NOW = 100_000 * SECOND  # later than the longest step of a clock
+STEPS_S = [-3600, -5, 0, 5, 3600]
+
+
+def entry(server: int, started: int, build: int = 41, state=i.ServerState.READY) -> i.ServerEntry:
+    return i.ServerEntry(server, 0, 0, 0, build, state, started, 1.0)
+
+
+def starts(times: StartTimes, now: int, *entries: i.ServerEntry, kind=i.ListKind.FULL) -> list[int]:
+    """Return the starts by the relay's clock of a list that arrives at `now`."""
+    return [translated.started for translated in times.translate(i.ServerList(kind, 1, entries), now).entries]
+
+
+def test_the_first_list_is_believed_unless_a_start_is_in_the_future():
+    listed = [entry(1, NOW - HOUR), entry(2, NOW - SECOND), entry(3, NOW + HOUR), entry(4, 0)]
+    for kind in (i.ListKind.FULL, i.ListKind.DELTA):
+        assert starts(StartTimes(), NOW, *listed, kind=kind) == [NOW - HOUR, NOW - SECOND, NOW, 0]
+
+
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_a_list_that_was_kept_from_an_earlier_time_holds_once_discovery_says_so(confirmed):
+    times = StartTimes()
+    starts(times, NOW, entry(1, 5), kind=i.ListKind.CACHED)
+    if confirmed:
+        times.list_confirmed(NOW)
+    changed = [entry(1, 5), entry(2, NOW - HOUR)]
+    assert starts(times, NOW + SECOND, *changed) == [5, NOW + SECOND if confirmed else NOW - HOUR]
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_start_is_believed_if_the_process_can_have_appeared_since_the_last_list(step_s):
+    times = StartTimes()
+    starts(times, NOW, entry(1, 5))
+    times.list_confirmed(NOW + 9 * SECOND)
+    told = NOW + 10 * SECOND + step_s * SECOND
+    appeared_at = NOW + 10 * SECOND + 500 * MS
+    changed = [entry(1, told, build=42), entry(2, told)]
+    first = starts(times, appeared_at, *changed)
+    assert first == [appeared_at if step_s else told] * 2
+    assert starts(times, appeared_at + HOUR, *changed) == first  # it does not move while its process lives
+
+
+def test_a_unit_that_comes_back_with_the_same_start_is_the_same_process():
+    times = StartTimes()
+    starts(times, NOW, entry(1, NOW - HOUR), entry(2, 5))
+    starts(times, NOW + SECOND, entry(2, 5))
+    starts(times, NOW + SECOND, entry(1, 0, state=i.ServerState.GONE), kind=i.ListKind.DELTA)
+    assert starts(times, NOW + 2 * SECOND, entry(1, NOW - HOUR), entry(2, 5)) == [NOW - HOUR, 5]
+
+
+def test_an_earlier_start_of_a_known_unit_is_passed_on():
+    times = StartTimes()
+    starts(times, NOW, entry(1, NOW - SECOND))
+    assert starts(times, NOW + SECOND, entry(1, NOW - HOUR)) == [NOW - HOUR]
+    assert starts(times, NOW + 2 * SECOND, entry(1, NOW - SECOND)) == [NOW - SECOND]
+
+
+def test_a_list_without_a_changed_start_is_the_same_object():
+    event = i.ServerList(i.ListKind.FULL, 1, (entry(1, 5), replace(entry(2, 0))))
+    assert StartTimes().translate(event, NOW) is event
+
+
+def requests_in_first_second(world, site: str, step_s: int) -> int:
+    """Return the requests to a fifth unit in the second after it is listed, its start off by `step_s`."""
+    relay = world(units=4, **SITES[site])
+    relay.step(HOUR / MS)
+    agent = SteppedAgent(relay)
+    agent.run(3000)
+    relay.units["u4"] = Unit()
+    relay.started_ms["u4"] = relay.clock.now() // MS + step_s * 1000
+    agent.change(u4="SERVING")
+    agent.run(100)
+    assert len(relay.relay.units.units) == 5
+    client, received = relay.client(), 0
+    for _ in range(200):
+        client.sendall(b"".join(ask() for _ in range(3)))
+        agent.run(5)
+        for name, unit in relay.units.items():
+            for peer, heard in unit.heard.items():
+                count = heard.count(b"\r\nQ.")
+                received += count * (name == "u4")
+                unit.heard[peer] = b""
+                peer.sendall(served(b"V") * count)
+    agent.run(20)
+    got(client)
+    return received
+
+
+@pytest.mark.parametrize("site", SITES)
+def test_a_unit_that_appears_is_cold_whatever_the_clock_of_its_start_says(world, site):
+    """Guards against a start that looks old: the unit got a warm unit's share in its first second."""
+    counts = {step_s: requests_in_first_second(world, site, step_s) for step_s in STEPS_S}
+    assert counts[0] > 20
+    assert max(counts.values()) <= 1.1 * counts[0], counts
