Digests in one module that does not load OpenSSL's hash functions

Change: loftroute/digest.py takes the same function from the interpreter's own module; a test of the imports of `run` keeps hashlib out.

--- a/loftroute/protocol/jobs.py
+++ b/loftroute/protocol/jobs.py
@@ -6,13 +6,13 @@
 times in this module are nanoseconds.
 """
 
-import hashlib
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import isfinite
 
 from loftroute.decision import interface as i
+from loftroute.digest import hex_digest
 from loftroute.protocol import ProtocolError, resp
 
 ID_DIGITS = "0123456789abcdef"
@@ -111,7 +111,7 @@
 
         The module only compares keys, and remembers them beyond the request.
         """
-        key = self.key if len(self.raw_key) <= NAME_LIMIT else hashlib.blake2b(self.raw_key).hexdigest()[:32]
+        key = self.key if len(self.raw_key) <= NAME_LIMIT else hex_digest(self.raw_key, 32)
         return i.RequestArrived(
             self.id, key, self.tenant, self.class_index, self.cost_hint, left, self.is_retry, False
         )
--- a/loftroute/subset/hashing.py
+++ b/loftroute/subset/hashing.py
@@ -1,21 +1,12 @@
 """Hash functions that give the same result in every process and on every machine.
 
-Sources: BLAKE2b (RFC 7693); the finalizer of SplitMix64 (Steele, Lea and Flood, 2014); jump consistent hash
+Sources: the finalizer of SplitMix64 (Steele, Lea and Flood, 2014); jump consistent hash
 (Lamping and Veach, 2014, arXiv:1406.2294).
 """
 
-from hashlib import blake2b
-
-_KEY_BYTES = 8
 _MASK = (1 << 64) - 1
 
 
-def key_of(name: str) -> int:
-    """Return the 64-bit key of a unit's name. All relays compute the same key for the same name."""
-    digest = blake2b(name.encode("utf-8", "surrogatepass"), digest_size=_KEY_BYTES).digest()
-    return int.from_bytes(digest, "big")
-
-
 def mix(value: int) -> int:
     """Return 64 evenly distributed bits for an integer (SplitMix64)."""
     value = (value + 0x9E3779B97F4A7C15) & _MASK
--- a/loftroute/subset/registry.py
+++ b/loftroute/subset/registry.py
@@ -4,7 +4,7 @@
 from math import isfinite
 
 from loftroute.decision.interface import ListKind, ServerEntry, ServerList, ServerState
-from loftroute.subset.hashing import key_of
+from loftroute.digest import digest_64
 
 
 class ListTooLongError(ValueError):
@@ -66,7 +66,7 @@
     def _add(self, entry: ServerEntry, name: str | None) -> None:
         self.entries[entry.server] = entry
         if entry.server not in self.keys:
-            self.keys[entry.server] = key_of(str(entry.server) if name is None else name)
+            self.keys[entry.server] = digest_64(str(entry.server) if name is None else name)
 
     def _check_size(self, event: ServerList) -> None:
         known = self.entries if event.kind is ListKind.DELTA else {}
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -391,6 +391,7 @@
     libraries = {"click", "google", "google_crc32c", "lark", "msgpack", "sortedcontainers"}
     product_packages = {"store", "recall", "settings", "cli", "lab", "vrrp", "pair"}
     assert not libraries & {name.split(".")[0] for name in loaded}
+    assert not {"hashlib", "_hashlib"} & set(loaded)  # of OpenSSL: half a megabyte
     assert not {
         name for name in loaded if name.startswith("loftroute.") and name.split(".")[1] in product_packages
     }
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -9,13 +9,14 @@
 
 from loftroute.decision import interface as i
 from loftroute.decision.policy import Balancer
+from loftroute.digest import digest_64
 from loftroute.lab.setup import MS, SECOND, setup
 from loftroute.module_settings import read_settings
 from loftroute.subset import assignment
 from loftroute.subset.assignment import Assignment
 from loftroute.subset.blocks import Block
 from loftroute.subset.dealing import even_shares
-from loftroute.subset.hashing import jump_hash, key_of
+from loftroute.subset.hashing import jump_hash
 from loftroute.subset.plan import Limits, coverage_for, relay_plan
 from loftroute.subset.pool import Pool
 from loftroute.subset.registry import ListTooLongError
@@ -30,7 +31,7 @@
     all_blocks = []
     for number in range(coverage):
         block = Block(relay_plan(number, instances, coverage), Limits())
-        block.update([(listed, key_of(str(listed.server))) for listed in entries], ())
+        block.update([(listed, digest_64(str(listed.server))) for listed in entries], ())
         all_blocks.append(block)
     return all_blocks
 
@@ -145,7 +146,7 @@
     rng = random.Random(seed)
     entries = {n: entry(n, rng.choice((1, 1, 1, 2))) for n in range(rng.choice((150, 700)))}
     grown, fresh = Block(relay_plan(1, 50, 3), Limits()), Block(relay_plan(1, 50, 3), Limits())
-    grown.update([(listed, key_of(str(listed.server))) for listed in entries.values()], ())
+    grown.update([(listed, digest_64(str(listed.server))) for listed in entries.values()], ())
     for _ in range(200):
         unit = rng.randrange(900)
         if rng.random() < 0.5:
@@ -153,13 +154,13 @@
             grown.update((), [unit])
         else:
             listed = entries[unit] = entry(unit, rng.choice((1, 2, 3)), zone=rng.randrange(4))
-            grown.update([(listed, key_of(str(unit)))], ())
-    fresh.update([(listed, key_of(str(listed.server))) for listed in entries.values()], ())
+            grown.update([(listed, digest_64(str(unit)))], ())
+    fresh.update([(listed, digest_64(str(listed.server))) for listed in entries.values()], ())
     assert relays_by_unit(grown) == relays_by_unit(fresh) and len(relays_by_unit(grown)) == len(entries)
 
 
 def test_an_assignment_gives_each_unit_its_first_relay_that_has_room_by_priority():
-    keys = {unit: key_of(f"u{unit}") for unit in range(60)}
+    keys = {unit: digest_64(f"u{unit}") for unit in range(60)}
     moved: set[int] = set()
     assigned = Assignment(7, moved)
     assigned.update(even_shares(0, 60, 7), keys.items(), ())
@@ -181,7 +182,7 @@
     )
     for unit in range(0, 300, 3):
         block.update((), [unit])
-        block.update([(entry(unit), key_of(str(unit)))], ())
+        block.update([(entry(unit), digest_64(str(unit)))], ())
     assert len(calls) / 200 < 60
 
 
