Crossing test: wait for the list before looking at it

test_a_silent_watch_is_followed_by_another_..._version[body-2] failed once in a run of the whole suite (six workers). It looked at the list after four turns of the loop, whether or not the answers had arrived: the sockets are real, only the clock is stepped.

--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -181,6 +181,7 @@
         watch.sendall(raw[cut:])  # in the same poll as the new call's answer
     body = json.dumps(cluster.listed(generation=3, whole=False, u0="DRAINING")).encode()
     second.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+    cluster.until(lambda: cluster.relay.discovery.versions.version == max(late_version, 3))
     cluster.turn(4)
     if late_version == 9:
         assert cluster.relay.discovery.versions.version == 9
