Store: writes resume by themselves once a disk that failed works again

Callers saw: after one in ten writes and syncs had failed for some seconds, -BUSY for each unsafe request, with a sound disk, until a restart ("store stopped a sync failed: ...").

Cause: LogWriter set Log.stopped, which nothing takes back, after five failed syncs in a row, when no new segment could be made, and when the sync of a new or compacted segment's name failed. Damage, for which stopping is right, uses the same state.

Change: failures of the disk suspend writes. LogWriter.resume goes on in a new segment, tried after 0.1 s and then after twice as long, 1 s at most. A segment whose sync failed is not written to again, its durable end stands in the header of the new one; a compacted segment whose name may not last is removed first. on_sync_error: STOP still stops for good. lab/slow_disk.py is now lab/faulty_disk.py and fails calls too.

--- /dev/null
+++ b/loftroute/lab/faulty_disk.py
@@ -0,0 +1,78 @@
+"""Runs a relay on a disk whose syncs take longer, or whose writes and syncs fail for a while.
+
+Usage: `python -m loftroute.lab.faulty_disk run --settings FILE`. Environment variables, 0 by default:
+
+LOFTROUTE_SYNC_DELAY_MS: how much longer each `fsync` takes, in milliseconds
+LOFTROUTE_DISK_FAILURE_SHARE: share of the calls of `pwrite` and `fsync` that fail, with ENOSPC or EIO
+LOFTROUTE_DISK_FAILURE_AFTER_MS, LOFTROUTE_DISK_FAILURE_MS: from when on, after the first call, and how long
+LOFTROUTE_DISK_SEED: seed of the choice of these calls
+"""
+
+import errno
+import os
+import random
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from loftroute.runtime import files
+
+
+class FaultyDisk:
+    """Replaces `os.fsync` and `os.pwrite` of this process.
+
+    Attributes:
+        sync_delay_s: How much longer each sync takes, in seconds.
+        failure_share: Share of the calls that fail.
+        failure_from_s: When calls begin to fail, in seconds after the first call.
+        failure_to_s: When that ends.
+    """
+
+    def __init__(
+        self, sync_delay_s: float, failure_share: float, failure_from_s: float, failure_to_s: float, seed: int
+    ) -> None:
+        self.sync_delay_s, self.failure_share = sync_delay_s, failure_share
+        self.failure_from_s, self.failure_to_s = failure_from_s, failure_to_s
+        self._rng = random.Random(seed)
+        self._first_call_at: float | None = None
+
+    def install(self) -> None:
+        """Replace the functions."""
+        files.os.fsync = self._faulty(os.fsync, self.sync_delay_s, (errno.EIO,))  # type: ignore[attr-defined]
+        files.os.pwrite = self._faulty(os.pwrite, 0.0, (errno.EIO, errno.ENOSPC))  # type: ignore[attr-defined]
+
+    def _faulty(
+        self, call: Callable[..., Any], delay_s: float, errors: tuple[int, ...]
+    ) -> Callable[..., Any]:
+        def faulty_call(*arguments: Any) -> Any:
+            time.sleep(delay_s)
+            if self._fails_now():
+                number = self._rng.choice(errors)
+                raise OSError(number, os.strerror(number))
+            return call(*arguments)
+
+        return faulty_call
+
+    def _fails_now(self) -> bool:
+        now = time.monotonic()
+        self._first_call_at = self._first_call_at or now
+        is_due = self.failure_from_s <= now - self._first_call_at < self.failure_to_s
+        return is_due and self._rng.random() < self.failure_share
+
+
+def _setting(name: str) -> float:
+    return float(os.environ.get(f"LOFTROUTE_{name}", "0"))
+
+
+if __name__ == "__main__":
+    from loftroute.cli.main import main
+
+    FaultyDisk(
+        _setting("SYNC_DELAY_MS") / 1000,
+        _setting("DISK_FAILURE_SHARE"),
+        _setting("DISK_FAILURE_AFTER_MS") / 1000,
+        (_setting("DISK_FAILURE_AFTER_MS") + _setting("DISK_FAILURE_MS")) / 1000,
+        int(_setting("DISK_SEED")),
+    ).install()
+    sys.exit(main())
--- a/loftroute/lab/pairs.py
+++ b/loftroute/lab/pairs.py
@@ -52,7 +52,7 @@
 
     `interval` is the advertisement interval in centiseconds, `patience` the setting `patience_ms`; `kill` is
     a kill point for relay 0, see lab/killer.py; `sync_delay_ms` is the time by which each sync of a relay's
-    disk takes longer, see lab/slow_disk.py. At most one of the latter two is set.
+    disk takes longer, see lab/faulty_disk.py. At most one of the latter two is set.
 
     Attributes:
         key: File with the keys of the pair.
@@ -120,7 +120,7 @@
                 options = {"program": "loftroute.lab.killer", "env": {"LOFTROUTE_KILL": kill}}
             elif sync_delay_ms:
                 environment = {"LOFTROUTE_SYNC_DELAY_MS": str(sync_delay_ms)}
-                options = {"program": "loftroute.lab.slow_disk", "env": environment}
+                options = {"program": "loftroute.lab.faulty_disk", "env": environment}
             self.relays.append(PairRelay(relay_folder, self.units, product, **options))
         for relay in self.relays:
             relay.may_start = True
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -29,6 +29,7 @@
 MISSING_SPACE = 255  # returned for a space that does not exist and cannot be created
 SWEEP_INTERVAL = 1_000 * MS
 CLOCK_INTERVAL = 10_000 * MS
+FIRST_RESUME_WAIT, MAX_RESUME_WAIT = 100 * MS, 1_000 * MS  # between tries to write again after failures
 WEIGHTS = {"checkpoint": 4, "compact": 2, "sweep": 1}  # shares of the background budget
 
 
@@ -150,6 +151,8 @@
             "compactions",
             "checkpoints",
             "background_errors",
+            "suspensions",
+            "resumptions",
             "torn_bytes",
         )
         shown = {f"store {name.replace('_', ' ')}": figures[name] for name in names}
@@ -160,6 +163,9 @@
     def _commit(self) -> None:
         """Commit pending batches; once there are none, mark what was written as durable."""
         while not self.closed:
+            if self.engine.suspended:
+                self._wait_for_disk()
+                continue
             if len(self._writer.pending):
                 drive(self._writer.commit(self.now), partial(self._sync, self._commits))
                 continue
@@ -169,6 +175,19 @@
                 continue
             self.scheduler.park()
 
+    def _wait_for_disk(self) -> None:
+        """Try to resume writes, after longer and longer waits, until that succeeds or the store is closed."""
+        logger.error("store: writes are suspended: {}", self.engine.suspended)
+        suspended_at, wait = self.scheduler.clock.now(), FIRST_RESUME_WAIT
+        while self.engine.suspended and not self.closed:
+            drive(self._writer.commit(self.now))  # refuses what was queued before
+            self.scheduler.sleep(wait)
+            wait = min(2 * wait, MAX_RESUME_WAIT)
+            drive(self._writer.resume(), partial(self._sync, self._commits))
+        if not self.engine.stopped:
+            suspended_ms = (self.scheduler.clock.now() - suspended_at) // MS
+            logger.info("store: writes resume after {} ms", suspended_ms)
+
     def _sync(self, worker: Worker, step: Sync) -> Exception | None:
         """Make a sync in a worker thread. One that takes too long counts as failed."""
         problem = worker.run(step.call, self.scheduler.clock.now() + self._sync_timeout)
@@ -235,6 +254,8 @@
             self._background.remove(job)
         now = self.scheduler.clock.now()
         self._background.record_step(now, job, moved, now - begun)
+        if self.engine.suspended:
+            self.scheduler.wake(self._committer)
 
     def close(self) -> None:
         """Write the pending batches, which blocks, and close the store."""
--- a/loftroute/store/compaction.py
+++ b/loftroute/store/compaction.py
@@ -46,7 +46,7 @@
     def compact(self, run: CompactionRun, now: int) -> Steps:
         """Compact a run. `now` is store time in nanoseconds.
 
-        Failures are counted in the log's counters and not raised. Damage stops the store from taking writes.
+        Failures are counted in the log's counters and not raised. Damage stops the store.
         """
         log = self._log
         inputs = log.sealed[run.first : run.last + 1]
@@ -64,7 +64,8 @@
                 raise problem
             log.directory.rename(output.file.name, header.name)
             if problem := (yield Sync(log.directory.sync)):
-                log.stopped = f"a compacted segment is not safe: {problem}"
+                log.unsafe_names.append(header.name)
+                log.suspend(f"a compacted segment is not safe: {problem}")
                 raise problem
             yield from self._install(inputs, output)
             log.counters.compactions += 1
--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -111,7 +111,12 @@
     @property
     def stopped(self) -> str:
         """Return why the store takes no writes; empty while it takes them."""
-        return self._log.stopped
+        return self._log.refusal
+
+    @property
+    def suspended(self) -> str:
+        """Return why the store takes no writes until `resume` succeeds; empty if that would be no use."""
+        return "" if self._log.stopped else self._log.suspended
 
     @property
     def used_bytes(self) -> int:
@@ -149,6 +154,10 @@
         """Write pending batches as `LogWriter.commit`."""
         return self.writer.commit(now)
 
+    def resume(self) -> Steps:
+        """Try to take writes again as `LogWriter.resume`."""
+        return self.writer.resume()
+
     # ---- reading
 
     def value(self, place: Location) -> bytes:
@@ -233,7 +242,7 @@
     def _may_maintain(self) -> bool:
         """Return whether maintenance may start: compaction and checkpoints never run at the same time."""
         log, running = self._log, self._compactor.running or self._checkpointer.running
-        return log.active is not None and not log.stopped and not running
+        return log.active is not None and not log.refusal and not running
 
     def compaction_due(self) -> CompactionRun | None:
         """Return the run of sealed segments to compact now, or None."""
--- a/loftroute/store/log.py
+++ b/loftroute/store/log.py
@@ -64,6 +64,8 @@
     checkpoint_bytes: int = 0
     followers_cut: int = 0
     background_errors: int = 0
+    suspensions: int = 0
+    resumptions: int = 0
 
 
 @dataclass(slots=True)
@@ -85,7 +87,9 @@
         active: The segment that is written to; None if the store was opened read-only.
         files: Open segment files by segment id.
         usage_exact: The state's usage counts no records in segments that no longer exist.
-        stopped: Why the store takes no writes; empty while it takes them.
+        stopped: Why the store takes no more writes until it is opened again; empty if it may take them.
+        suspended: Why it takes no writes until the disk works again; empty if it may take them.
+        unsafe_names: Files that must be gone before writes resume: whether they last is unknown.
     """
 
     directory: Directory
@@ -99,6 +103,8 @@
     checkpoint: OpenCheckpoint | None = None
     usage_exact: bool = True
     stopped: str = ""
+    suspended: str = ""
+    unsafe_names: list[str] = field(default_factory=list)
     counters: Counters = field(default_factory=Counters)
 
     @property
@@ -119,9 +125,19 @@
             ReadOnlyError: The store was opened read-only.
         """
         if self.active is None:
-            raise plan.ReadOnlyError(self.stopped or "closed")
+            raise plan.ReadOnlyError(self.refusal or "closed")
         return self.active
 
+    @property
+    def refusal(self) -> str:
+        """Return why the store takes no writes; empty while it takes them."""
+        return self.stopped or self.suspended
+
+    def suspend(self, reason: str) -> None:
+        """Take no writes until `LogWriter.resume` succeeds."""
+        self.counters.suspensions += not self.suspended
+        self.suspended = reason
+
     def stop(self, reason: str) -> None:
         """Take no more writes. The reason of the first call is kept."""
         self.stopped = self.stopped or reason
--- a/loftroute/store/writer.py
+++ b/loftroute/store/writer.py
@@ -103,8 +103,8 @@
             WriteRefusedError: The batch was not queued; `done` will not be called.
         """
         log, limits, pending = self._log, self._limits, self.pending
-        if log.stopped:
-            raise self._count_refusal(plan.ReadOnlyError(log.stopped))
+        if log.refusal:
+            raise self._count_refusal(plan.ReadOnlyError(log.refusal))
         size, longest, largest = RECORD.size * len(ops), limits.key_bytes, limits.value_bytes
         for _, _, key, value, _ in ops:
             if not 0 < len(key) <= longest or len(value) > largest:
@@ -164,10 +164,10 @@
         If nothing is pending, mark what is known to be durable. Does nothing while another commit runs.
         """
         log = self._log
-        if log.stopped and not self._committing:
-            self._refuse_pending(log.stopped)
+        if log.refusal and not self._committing:
+            self._refuse_pending(log.refusal)
         active = log.active
-        if self._committing or active is None or log.stopped:
+        if self._committing or active is None or log.refusal:
             return
         if not self.pending.batches:
             self._write_durable_mark(active, now)
@@ -287,7 +287,9 @@
         return _refusal(active.file.name, problem)
 
     def _handle_sync_failure(self, active: ActiveSegment, problem: Exception) -> StepsWithResult[StoreError]:
-        """Continue in a new segment after a failed sync, or take no more writes, as the limits say.
+        """Continue in a new segment after a failed sync, or stop, as the limits say.
+
+        If no new segment can be made, or too many syncs in a row have failed, writes are suspended.
 
         Which pages are durable is unknown, and a later successful sync would not show it. The new segment
         records how much of this one is known to be durable.
@@ -295,12 +297,12 @@
         log = self._log
         log.counters.sync_errors += 1
         self._failed_syncs += 1
-        if log.limits.on_sync_error is OnSyncError.STOP or self._failed_syncs > log.limits.max_failed_syncs:
-            log.stopped = f"a sync failed: {problem}"
-        else:
-            roll_problem = yield from self._roll_segment(active)
-            if roll_problem:
-                log.stopped = f"a sync failed ({problem}), and no new segment could be made ({roll_problem})"
+        if log.limits.on_sync_error is OnSyncError.STOP:
+            log.stop(f"a sync failed: {problem}")
+        elif self._failed_syncs > log.limits.max_failed_syncs:
+            log.suspend(f"a sync failed: {problem}")
+        elif roll_problem := (yield from self._roll_segment(active)):
+            log.suspend(f"a sync failed ({problem}), and no new segment could be made ({roll_problem})")
         return plan.DurabilityUnknownError(f"a sync failed: {problem}")
 
     def _roll_segment(self, old: ActiveSegment) -> StepsWithResult[Exception | None]:
@@ -321,7 +323,7 @@
                 return problem
             log.directory.rename(file.name, header.name)
             if problem := (yield Sync(log.directory.sync)):
-                log.stopped = f"a new segment is not safe: {problem}"
+                log.suspend(f"a new segment is not safe: {problem}")
                 return problem
         except OSError as problem:
             return problem
@@ -332,13 +334,46 @@
         log.set_active(ActiveSegment(file, header, HEADER_SIZE, HEADER_SIZE, header.seed, header.seed))
         return None
 
+    def resume(self) -> Steps:
+        """Try to take writes again after `Log.suspend`, in a new segment.
+
+        A segment whose sync has failed is never written to again: the new one records how much of it is
+        durable. Does nothing if writes are not suspended, or while a commit runs.
+        """
+        log, active = self._log, self._log.active
+        if not log.suspended or log.stopped or active is None or self._committing:
+            return
+        self._committing = True
+        try:
+            problem = self._remove_unsafe_files() or (yield from self._roll_segment(active))
+            if problem:
+                log.suspend(f"no new segment: {problem}")
+                return
+            log.suspended, self._failed_syncs = "", 0
+            log.counters.resumptions += 1
+        finally:
+            self._committing = False
+
+    def _remove_unsafe_files(self) -> OSError | None:
+        """Remove the files whose names may not last; the sync of the new segment's name covers this."""
+        names = self._log.unsafe_names
+        while names:
+            try:
+                self._log.directory.remove(names[-1])
+            except FileNotFoundError:
+                pass
+            except OSError as problem:
+                return problem
+            names.pop()
+        return None
+
     def close(self) -> None:
         """Write what is pending, and refuse what cannot be written. Blocks."""
         log = self._log
-        if log.active and not log.stopped and not self._committing:
+        if log.active and not log.refusal and not self._committing:
             drive(self.commit(log.state.horizon))
             drive(self.commit(log.state.horizon))  # marks what the first one wrote as durable
-        self._refuse_pending(log.stopped or "closed")
+        self._refuse_pending(log.refusal or "closed")
 
 
 def _refusal(action: str, problem: Exception) -> plan.WriteRefusedError:
