Recall: outcomes that the disk refused are kept and written later

Callers saw: the value of an unsafe request while the disk refuses writes, then -ERR failed for the same id, in the same process and after a kill.

Cause: Keeper.record_outcome ignored the error of its one write, so that the durable intent ("may have run") decided later calls.

A newer record that the store accepts supersedes one that is kept. lab/faulty_disk.py fails calls while a file exists, in place of a span of time.

The test fails without the change of keeper.py.

--- a/loftroute/lab/faulty_disk.py
+++ b/loftroute/lab/faulty_disk.py
@@ -4,7 +4,7 @@
 
 LOFTROUTE_SYNC_DELAY_MS: how much longer each `fsync` takes, in milliseconds
 LOFTROUTE_DISK_FAILURE_SHARE: share of the calls of `pwrite` and `fsync` that fail, with ENOSPC or EIO
-LOFTROUTE_DISK_FAILURE_AFTER_MS, LOFTROUTE_DISK_FAILURE_MS: from when on, after the first call, and how long
+LOFTROUTE_DISK_FAILURE_FILE: they fail while this file exists
 LOFTROUTE_DISK_SEED: seed of the choice of these calls
 """
 
@@ -25,17 +25,13 @@
     Attributes:
         sync_delay_s: How much longer each sync takes, in seconds.
         failure_share: Share of the calls that fail.
-        failure_from_s: When calls begin to fail, in seconds after the first call.
-        failure_to_s: When that ends.
+        failure_file: They fail while this file exists.
     """
 
-    def __init__(
-        self, sync_delay_s: float, failure_share: float, failure_from_s: float, failure_to_s: float, seed: int
-    ) -> None:
+    def __init__(self, sync_delay_s: float, failure_share: float, failure_file: str, seed: int) -> None:
         self.sync_delay_s, self.failure_share = sync_delay_s, failure_share
-        self.failure_from_s, self.failure_to_s = failure_from_s, failure_to_s
+        self.failure_file = failure_file
         self._rng = random.Random(seed)
-        self._first_call_at: float | None = None
 
     def install(self) -> None:
         """Replace the functions."""
@@ -55,10 +51,7 @@
         return faulty_call
 
     def _fails_now(self) -> bool:
-        now = time.monotonic()
-        self._first_call_at = self._first_call_at or now
-        is_due = self.failure_from_s <= now - self._first_call_at < self.failure_to_s
-        return is_due and self._rng.random() < self.failure_share
+        return os.path.exists(self.failure_file) and self._rng.random() < self.failure_share
 
 
 def _setting(name: str) -> float:
@@ -71,8 +64,7 @@
     FaultyDisk(
         _setting("SYNC_DELAY_MS") / 1000,
         _setting("DISK_FAILURE_SHARE"),
-        _setting("DISK_FAILURE_AFTER_MS") / 1000,
-        (_setting("DISK_FAILURE_AFTER_MS") + _setting("DISK_FAILURE_MS")) / 1000,
+        os.environ.get("LOFTROUTE_DISK_FAILURE_FILE", ""),
         int(_setting("DISK_SEED")),
     ).install()
     sys.exit(main())
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -25,6 +25,7 @@
     RunState,
     ServerLocation,
 )
+from loftroute.recall.unsaved import UnsavedOutcomes
 from loftroute.relay.module import Module, Ticket
 from loftroute.relay.units import Attempt
 from loftroute.runtime.clock import current_moment
@@ -35,6 +36,7 @@
 from loftroute.store.writer import DoneCallback
 
 SPACE = "recall"  # name of the store's space
+UNSAVED_RETRY_INTERVAL = 100 * MS
 OPEN_AT_PEER_LIMIT = 10_000  # ids that are open at the other relay and that calls may wait for here
 
 
@@ -172,6 +174,8 @@
         self._live: dict[str, OpenRequest] = {}
         # Records that are not durable yet: the newest one by id, and the number of writes in progress.
         self._unsynced: dict[str, tuple[RequestRecord, int]] = {}
+        self._unsaved = UnsavedOutcomes()
+        self._unsaved_timer: Timer | None = None
         self.pair: PeerRelay | None = None
         # Ids that are open at the other relay, with the calls that wait for them here.
         self._open_at_peer: dict[str, list[Waiter]] = {}
@@ -184,6 +188,8 @@
             "recalled": requests,
             "recall bytes": size,
             "recall live": len(self._live),
+            "recall unsaved outcomes": len(self._unsaved),
+            "recall lost outcomes": self._unsaved.lost,
             **{f"recall {name}": number for name, number in self.counters.items()},
         }
 
@@ -237,6 +243,8 @@
             StoreError: The record cannot be read.
             ValueError: The stored bytes are not a record.
         """
+        if unsaved := self._unsaved.get(request_id):
+            return unsaved
         if request_id in self._unsynced:
             return self._unsynced[request_id][0]
         raw = self._store.get(self._space, request_id.encode())
@@ -398,7 +406,7 @@
             attempt.finish(AttemptResult(i.Outcome.MOOT))
 
     def record_outcome(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Store the outcome of an attempt.
+        """Store the outcome of an attempt; one that cannot be written is kept until the store takes it.
 
         The client's answer need not wait until the outcome is durable: after a crash the intent alone keeps
         the request from being sent as if it had not run.
@@ -413,14 +421,47 @@
             after = decisions.with_outcome(live.known, before, result.outcome, value)
             if after is not live.known:
                 live.known = after
-                self._write(live.job.id, after, lambda _: None)
+                self._write_outcome(live.job.id, after)
             if self.pair is not None:
                 self.pair.send_mirror(live.job.id, after.pack())
         if live.answered:
             self._finish_if_done(live)
 
-    def _write(self, request_id: str, record: RequestRecord, done: DoneCallback) -> None:
-        """Store a record. Calls are decided by it at once, before it is durable."""
+    def _write_outcome(self, request_id: str, record: RequestRecord) -> None:
+        """Store the outcome of an attempt, or keep it if that fails."""
+
+        def done(problem: StoreError | None) -> None:
+            is_superseded = request_id in self._unsynced  # writes end in order, so that one is newer
+            if problem is not None and not is_superseded:
+                self._keep_unsaved(request_id, record)
+
+        if not self._write(request_id, record, done):
+            self._keep_unsaved(request_id, record)
+
+    def _keep_unsaved(self, request_id: str, record: RequestRecord) -> None:
+        self._unsaved.keep(request_id, record)
+        self._schedule_unsaved()
+
+    def _schedule_unsaved(self) -> None:
+        if self._unsaved_timer is None:
+            due_at = self._scheduler.clock.now() + UNSAVED_RETRY_INTERVAL
+            self._unsaved_timer = self._scheduler.call_at(due_at, self._write_unsaved)
+
+    def _write_unsaved(self) -> None:
+        """Write the outcomes that were kept, once the store takes writes."""
+        self._unsaved_timer = None
+        for request_id, record in self._unsaved.items():
+            if self._store.stopped:
+                break
+            self._write_outcome(request_id, record)
+        if len(self._unsaved):
+            self._schedule_unsaved()
+
+    def _write(self, request_id: str, record: RequestRecord, done: DoneCallback) -> bool:
+        """Store a record. Calls are decided by it at once, before it is durable.
+
+        Returns False if the store refused it; `done` was called then.
+        """
         writes = self._unsynced.get(request_id, (record, 0))[1]
 
         def on_written(problem: StoreError | None) -> None:
@@ -436,8 +477,11 @@
             self._store.submit([op], on_written)
         except WriteRefusedError as problem:
             self.counters["writes refused"] += 1
-            return done(problem)
+            done(problem)
+            return False
         self._unsynced[request_id] = (record, writes + 1)
+        self._unsaved.discard(request_id)  # older
+        return True
 
     # ---- the other relay's records
 
@@ -474,8 +518,10 @@
             self._retry_waiters(request_id)
 
     def all_records(self) -> Iterator[tuple[str, bytes]]:
-        """Yield the ids and records that are stored, then those that are not durable yet."""
+        """Yield the ids and records that are stored, then those that are not durable yet or could not be."""
         for key, value in self._store.engine.scan(self._space, b"", self._store.now):
             yield key.decode(), value
         for request_id, (record, _) in list(self._unsynced.items()):
             yield request_id, record.pack()
+        for request_id, record in self._unsaved.items():
+            yield request_id, record.pack()
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -9,6 +9,8 @@
 
 from loftroute.lab.disk import Disk
 from loftroute.lab.standins import Unit, eventually
+from loftroute.recall.decisions import RequestRecord, RunState
+from loftroute.recall.unsaved import UnsavedOutcomes
 from loftroute.store.plan import ReadOnlyError, WriteRefusedError
 from loftroute.store.records import PUT, Op
 from loftroute.store.steps import drive
@@ -115,15 +117,14 @@
 @pytest.mark.parametrize("share", [0.1, 0.5, 1.0])
 def test_a_relay_serves_unsafe_requests_again_within_two_seconds_of_the_last_failure(relay, tmp_path, share):
     """Guards against -BUSY for each unsafe request until a restart, after a disk that failed now and then."""
-    failing_ms = 3000
+    failing = tmp_path / "failing"
     instance = relay(
         {"u1": Unit()},
         product=product(tmp_path),
         program="loftroute.lab.faulty_disk",
         env={
             "LOFTROUTE_DISK_FAILURE_SHARE": str(share),
-            "LOFTROUTE_DISK_FAILURE_AFTER_MS": "2000",
-            "LOFTROUTE_DISK_FAILURE_MS": str(failing_ms),
+            "LOFTROUTE_DISK_FAILURE_FILE": str(failing),
             "LOFTROUTE_DISK_SEED": "1",
         },
     )
@@ -136,16 +137,61 @@
             time.sleep(0.02)
 
     threads = [threading.Thread(target=ask) for _ in range(4)]
-    started_at = time.monotonic()
+    failing.touch()
     for thread in threads:
         thread.start()
-    time.sleep((2000 + failing_ms) / 1000)
+    time.sleep(3)
+    failing.unlink()
+    sound_at = time.monotonic()
     try:
         eventually(lambda: [answer for _, answer in answers[-20:]] == [b"value of k1"] * 20, 2.5)
     finally:
         stop.set()
         for thread in threads:
             thread.join()
-    assert any(answer is None or answer.startswith(b"-") for at, answer in answers if at - started_at < 5)
+    assert any(answer is None or answer.startswith(b"-") for at, answer in answers if at < sound_at)
     log = (instance.tmp / "log").read_text()
     assert log.count("writes are suspended") == log.count("writes resume after")
+
+
+def test_an_answer_that_was_given_while_the_disk_failed_is_given_again_after_a_kill(relay, tmp_path):
+    """Guards against -ERR failed for a value that the client had got: its outcome was not written later."""
+    unit, failing = Unit("wait"), tmp_path / "failing"
+    instance = relay(
+        {"u1": unit},
+        product=product(tmp_path),
+        program="loftroute.lab.faulty_disk",
+        env={
+            "LOFTROUTE_DISK_FAILURE_SHARE": "1",
+            "LOFTROUTE_DISK_FAILURE_FILE": str(failing),
+        },
+    )
+    names = [instance.id() for _ in range(5)]
+    clients = [instance.client() for _ in names]
+    for name, client in zip(names, clients, strict=True):
+        client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
+    eventually(lambda: len(unit.seen) >= len(names))
+    failing.touch()
+    unit.proceed.set()
+    assert [client.read() for client in clients] == [b"value of k1"] * len(names)
+    assert [instance.pay(instance.client(), name=name) for name in names] == [b"value of k1"] * len(names)
+    time.sleep(0.5)  # more than one try to resume fails
+    failing.unlink()
+    eventually(lambda: instance.pay(instance.client(), name=instance.id()) == b"value of k1")
+    time.sleep(0.3)  # until the outcomes are durable
+    instance.kill_and_restart()
+    assert [instance.pay(instance.client(), name=name) for name in names] == [b"value of k1"] * len(names)
+    assert sum(request[2].decode() in names for request in unit.seen) == len(names)
+
+
+def test_outcomes_that_are_kept_take_a_bounded_amount_of_memory():
+    kept = UnsavedOutcomes(bytes_limit=1000)
+    for n in range(100):
+        kept.keep(f"{n:016x}", RequestRecord(RunState.RAN, "pay", "k", 1, value=b"x" * 100))
+    assert 5 < len(kept) < 10 and kept.lost == 100 - len(kept)
+    assert kept.get(f"{99:016x}") is not None and kept.get(f"{0:016x}") is None
+    kept.keep(f"{99:016x}", RequestRecord(RunState.RAN, "pay", "k", 1, value=b"y"))
+    assert [record.value for name, record in kept.items() if name == f"{99:016x}"] == [b"y"]
+    for name, _ in kept.items():
+        kept.discard(name)
+    assert not len(kept)
