Starts are moved back by a step of the wall clock; late lists are believed

Cause: the first form took each start from before discovery's last answer for one of a clock that is behind.

Change: the relay reads how far its machine's wall clock was stepped since its start (Clock.wall_step) and moves starts that are first told after it back; only those from over list_change_limit_ns before the last answer, or in the future, count as now. A process that restarts under its id is told from the one before by real time, so that one that tells an earlier start after a step is noticed.

--- a/loftroute/relay/members.py
+++ b/loftroute/relay/members.py
@@ -4,7 +4,7 @@
 selects.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 
 from loguru import logger
@@ -14,7 +14,7 @@
 from loftroute.protocol.catalog import Address, Listing
 from loftroute.relay.start_times import StartTimes
 from loftroute.relay.units import Units
-from loftroute.runtime.scheduler import Mailbox
+from loftroute.runtime.scheduler import Mailbox, TimeSource
 from loftroute.subset.pool import Action, Pool
 from loftroute.subset.registry import ListTooLongError
 
@@ -22,14 +22,12 @@
 class Members:
     """Applies the subset to each list and remembers the addresses of all units, since any may be selected."""
 
-    def __init__(
-        self, config: Config, now: Callable[[], int], units: Units, mailbox: Mailbox[i.Event]
-    ) -> None:
+    def __init__(self, config: Config, clock: TimeSource, units: Units, mailbox: Mailbox[i.Event]) -> None:
         settings = config.settings
-        self._now, self._units, self._mailbox = now, units, mailbox
+        self._clock, self._units, self._mailbox = clock, units, mailbox
         self._pool = Pool(settings.instance_index, settings.instances, config.budget.unit_connections)
         self._addresses: dict[int, Address] = {}
-        self._start_times = StartTimes()
+        self._start_times = StartTimes(config.transport.list_change_limit_ns)
         if not 0 <= settings.instance_index < settings.instances:
             logger.warning(
                 "subset: index {} is out of range for {} relays, taken modulo",
@@ -39,9 +37,12 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Apply a list; one that exceeds the registry's limit is logged and ignored."""
-        listing = replace(listing, event=self._start_times.translate(listing.event, self._now()))
+        listing = replace(
+            listing,
+            event=self._start_times.translate(listing.event, self._clock.now(), self._clock.wall_step()),
+        )
         try:
-            actions = self._pool.handle(self._now(), listing.event, listing.names)
+            actions = self._pool.handle(self._clock.now(), listing.event, listing.names)
         except ListTooLongError as problem:
             logger.error("subset: {}; the list stays as it was", problem)
             return
@@ -54,12 +55,12 @@
 
     def handle_unchanged_list(self) -> None:
         """Handle an answer of discovery that brings no change."""
-        self._start_times.list_confirmed(self._now())
+        self._start_times.list_confirmed(self._clock.now())
 
     def attempt_ended(self, server: int, outcome: i.Outcome) -> None:
         """Report the outcome of an attempt, which may widen or narrow the subset."""
         if self._pool.is_subset_active:
-            for action in self._pool.attempt_ended(self._now(), server, outcome):
+            for action in self._pool.attempt_ended(self._clock.now(), server, outcome):
                 self._handle_action(action)
 
     def figures(self) -> Mapping[str, object]:
--- a/loftroute/relay/module.py
+++ b/loftroute/relay/module.py
@@ -107,7 +107,7 @@
         self._config, self._scheduler, self._decider, self._units = config, scheduler, decider, units
         self._transport = config.transport
         self.mailbox: Mailbox[i.Event] = Mailbox(scheduler, config.transport.mailbox_capacity)
-        self.members = Members(config, scheduler.clock.now, units, self.mailbox)
+        self.members = Members(config, scheduler.clock, units, self.mailbox)
         self.on_vote: Callable[[i.Vote], Any] = lambda _: None
         self.on_watch: Callable[[i.Watch | i.Fetch], Any] = lambda _: None
         self.recall: Recall | None = None
--- a/loftroute/relay/start_times.py
+++ b/loftroute/relay/start_times.py
@@ -1,8 +1,10 @@
 """Start times of units' processes by this relay's clock. No input or output.
 
-A list tells when a process started by the wall clock of the machine that wrote it, which may have been
-stepped or differ from this relay's. A start is believed if it lies between the last confirmation of the list
-without that process and now. Otherwise the process counts as started now: it may be cold.
+A list tells when a process started by the machines' wall clock. If that is stepped while the relay runs, so
+is this machine's, and starts told from then on are moved back by the step.
+
+A process that appears in a list cannot have started long before discovery said that it was not there, nor in
+the future. Where its start says so, clocks differ otherwise: it counts as started now, since it may be cold.
 """
 
 from dataclasses import replace
@@ -29,10 +31,12 @@
 class StartTimes:
     """Translates the starts in lists. Those of a relay's first list may be old, as its units may be.
 
-    An earlier start of a known unit is passed on as it is: the list may be out of date.
+    A list may be late by `list_lateness_ns`, so that a start before its predecessor is believed that far. An
+    earlier start of a known unit is passed on as it is: the list may be out of date.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, list_lateness_ns: int) -> None:
+        self._list_lateness_ns = list_lateness_ns
         self._processes: dict[int, KnownProcess] = {}  # by unit, the one that changed last at the end
         self._confirmed_at: int | None = None  # ns; None before the first answer
 
@@ -40,24 +44,30 @@
         """Record that discovery has answered at `now` (ns) that the list holds, be it a cached one."""
         self._confirmed_at = now
 
-    def translate(self, event: ServerList, now: int) -> ServerList:
-        """Return a list that has arrived at `now` (ns), with starts by this relay's clock."""
-        entries = tuple(self._translate_entry(entry, now) for entry in event.entries)
+    def translate(self, event: ServerList, now: int, wall_step: int = 0) -> ServerList:
+        """Return a list that has arrived at `now`, with starts by this relay's clock.
+
+        `wall_step` is by how much the wall clock was stepped since this relay's clock began. All times are
+        in nanoseconds.
+        """
+        entries = tuple(self._translate_entry(entry, now, wall_step) for entry in event.entries)
         if event.kind in (ListKind.FULL, ListKind.DELTA):
             self._confirmed_at = now
         while len(self._processes) > 2 * ENTRIES_LIMIT:
             del self._processes[next(iter(self._processes))]
         return event if entries == event.entries else replace(event, entries=entries)
 
-    def _translate_entry(self, entry: ServerEntry, now: int) -> ServerEntry:
+    def _translate_entry(self, entry: ServerEntry, now: int, wall_step: int) -> ServerEntry:
         known = self._processes.get(entry.server)
         if entry.state is ServerState.GONE or not entry.started:
             return entry
-        if known is None or entry.started > known.told_start or entry.build != known.build:
-            earliest = self._confirmed_at or 0
-            start = entry.started if earliest <= entry.started <= now else now
+        start = entry.started - wall_step
+        is_same = known is not None and entry.build == known.build and entry.started == known.told_start
+        if known is None or entry.build != known.build or (not is_same and start > known.start):
+            earliest = (self._confirmed_at or 0) - self._list_lateness_ns
+            start = start if earliest <= start <= now else now
             self._processes.pop(entry.server, None)
             known = self._processes[entry.server] = KnownProcess(entry.started, start, entry.build)
-        if entry.started < known.told_start or entry.started == known.start:
-            return entry
-        return replace(entry, started=known.start)
+            is_same = True
+        told_start = known.start if is_same else min(entry.started, known.start)
+        return entry if told_start == entry.started else replace(entry, started=told_start)
--- a/loftroute/runtime/clock.py
+++ b/loftroute/runtime/clock.py
@@ -18,6 +18,10 @@
         """Return the current time in nanoseconds since the Unix epoch."""
         return self._offset + time.monotonic_ns()
 
+    def wall_step(self) -> int:
+        """Return by how much the machine's wall clock was stepped since creation, in nanoseconds."""
+        return time.time_ns() - time.monotonic_ns() - self._offset
+
 
 def read_boot_id() -> str:
     """Return an id that is unique to this boot of the machine, or "" if the system doesn't provide one."""
--- a/loftroute/runtime/scheduler.py
+++ b/loftroute/runtime/scheduler.py
@@ -36,6 +36,9 @@
     def now(self) -> int:
         """Return the current time in nanoseconds."""
 
+    def wall_step(self) -> int:
+        """Return by how much the machine's wall clock was stepped since creation, in nanoseconds."""
+
 
 class Poller(Protocol):
     """The interface of `select.poll` objects."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -24,6 +24,9 @@
     def now(self) -> int:
         return self.time
 
+    def wall_step(self) -> int:
+        return 0
+
     def register(self, fd, mask) -> None:
         self.watched[fd] = mask
 
