A later told start is another process, whatever it is in real time

A unit that restarts under its id would count as warm if it does so just before the wall clock is set forward, or on a machine whose clock is behind: told later than the start before, but, moved back by the step or beside the moment at which that process appeared, not later in real time, it was taken for the same process.

Change: only a start that is earlier both as told and in real time is passed on as one of a list that may be out of date. The three kinds of entry (same process, earlier, new) now follow each other without flags; the list's time is read once.

Both new tests fail without the change.

--- a/loftroute/relay/members.py
+++ b/loftroute/relay/members.py
@@ -37,12 +37,11 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Apply a list; one that exceeds the registry's limit is logged and ignored."""
-        listing = replace(
-            listing,
-            event=self._start_times.translate(listing.event, self._clock.now(), self._clock.wall_step()),
-        )
+        now = self._clock.now()
+        event = self._start_times.translate(listing.event, now, self._clock.wall_step())
+        listing = replace(listing, event=event)
         try:
-            actions = self._pool.handle(self._clock.now(), listing.event, listing.names)
+            actions = self._pool.handle(now, event, listing.names)
         except ListTooLongError as problem:
             logger.error("subset: {}; the list stays as it was", problem)
             return
--- a/loftroute/relay/start_times.py
+++ b/loftroute/relay/start_times.py
@@ -44,7 +44,7 @@
         """Record that discovery has answered at `now` (ns) that the list holds, be it a cached one."""
         self._confirmed_at = now
 
-    def translate(self, event: ServerList, now: int, wall_step: int = 0) -> ServerList:
+    def translate(self, event: ServerList, now: int, wall_step: int) -> ServerList:
         """Return a list that has arrived at `now`, with starts by this relay's clock.
 
         `wall_step` is by how much the wall clock was stepped since this relay's clock began. All times are
@@ -58,16 +58,21 @@
         return event if entries == event.entries else replace(event, entries=entries)
 
     def _translate_entry(self, entry: ServerEntry, now: int, wall_step: int) -> ServerEntry:
-        known = self._processes.get(entry.server)
         if entry.state is ServerState.GONE or not entry.started:
             return entry
+        known = self._processes.get(entry.server)
+        if known is not None and (known.told_start, known.build) == (entry.started, entry.build):
+            return _with_start(entry, known.start)
         start = entry.started - wall_step
-        is_same = known is not None and entry.build == known.build and entry.started == known.told_start
-        if known is None or entry.build != known.build or (not is_same and start > known.start):
-            earliest = (self._confirmed_at or 0) - self._list_lateness_ns
-            start = start if earliest <= start <= now else now
-            self._processes.pop(entry.server, None)
-            known = self._processes[entry.server] = KnownProcess(entry.started, start, entry.build)
-            is_same = True
-        told_start = known.start if is_same else min(entry.started, known.start)
-        return entry if told_start == entry.started else replace(entry, started=told_start)
+        is_earlier = known is not None and entry.started < known.told_start and start <= known.start
+        if is_earlier and entry.build == known.build:
+            return _with_start(entry, start)
+        earliest = (self._confirmed_at or 0) - self._list_lateness_ns
+        start = start if earliest <= start <= now else now
+        self._processes.pop(entry.server, None)
+        self._processes[entry.server] = KnownProcess(entry.started, start, entry.build)
+        return _with_start(entry, start)
+
+
+def _with_start(entry: ServerEntry, start: int) -> ServerEntry:
+    return entry if start == entry.started else replace(entry, started=start)
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -59,6 +59,23 @@
     assert starts(times, NOW + SECOND, entry(1, NOW + step), step=step) == [NOW]
 
 
+def test_a_process_that_restarts_just_before_the_clock_is_set_forward_is_a_new_one():
+    """Guards against a cold unit that counts as warm: its start, moved back by the step, looked older."""
+    times, restarted_at = StartTimes(LATENESS), NOW + 10 * SECOND
+    starts(times, NOW, entry(1, NOW - 60 * SECOND))
+    now = restarted_at + SECOND
+    assert starts(times, now, entry(1, restarted_at), step=HOUR) == [now]
+
+
+def test_a_process_that_restarts_on_a_machine_whose_clock_is_behind_is_a_new_one():
+    """Guards against a cold unit that counts as warm: its start was older than when its last one appeared."""
+    times = StartTimes(LATENESS)
+    starts(times, NOW, entry(1, 5))
+    assert starts(times, NOW + SECOND, entry(1, 5), entry(2, NOW - HOUR)) == [5, NOW + SECOND]
+    now = NOW + 20 * SECOND
+    assert starts(times, now, entry(1, 5), entry(2, NOW - HOUR + 10 * SECOND)) == [5, now]
+
+
 @pytest.mark.parametrize("off_s", [-3600, -15, 5, 3600])
 def test_a_start_long_before_the_list_without_the_process_counts_as_now(off_s):
     times = StartTimes(LATENESS)
@@ -86,7 +103,7 @@
 
 def test_a_list_without_a_changed_start_is_the_same_object():
     event = i.ServerList(i.ListKind.FULL, 1, (entry(1, 5), replace(entry(2, 0))))
-    assert StartTimes(LATENESS).translate(event, NOW) is event
+    assert StartTimes(LATENESS).translate(event, NOW, 0) is event
 
 
 def requests_in_first_second(world, site: str, step_s: int) -> int:
