A step of the wall clock is told in whole milliseconds

Found on reading again: the two clocks are read one after the other, so that Clock.wall_step was never quite 0 and each entry of each list was copied with a start that differed by nanoseconds.

Change: it is rounded to the millisecond, the unit of starts in lists.

--- a/loftroute/runtime/clock.py
+++ b/loftroute/runtime/clock.py
@@ -3,6 +3,7 @@
 import time
 
 from loftroute.moments import Moment
+from loftroute.runtime.scheduler import MS
 
 
 class Clock:
@@ -19,8 +20,12 @@
         return self._offset + time.monotonic_ns()
 
     def wall_step(self) -> int:
-        """Return by how much the machine's wall clock was stepped since creation, in nanoseconds."""
-        return time.time_ns() - time.monotonic_ns() - self._offset
+        """Return by how much the machine's wall clock was stepped since creation, in nanoseconds.
+
+        It is in whole milliseconds, as lists are: two clocks cannot be read at the same moment.
+        """
+        difference = time.time_ns() - time.monotonic_ns() - self._offset
+        return round(difference / MS) * MS
 
 
 def read_boot_id() -> str:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -3,12 +3,14 @@
 import ast
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
 from loftroute import invariants
 from loftroute.protocol import ProtocolError, resp
+from loftroute.runtime.clock import Clock
 from loftroute.runtime.scheduler import MS, READ, Mailbox, Scheduler, spawn_actor
 from loftroute.runtime.stream import Buffer
 
@@ -398,3 +400,18 @@
     assert not {
         name for name in loaded if name.startswith("loftroute.") and name.split(".")[1] in product_packages
     }
+
+
+@pytest.mark.parametrize(
+    ("moved_ns", "step_ns"), [(0, 0), (400_000, 0), (-400_000, 0), (5 * 10**9 + 3, 5 * 10**9)]
+)
+def test_a_step_of_the_wall_clock_is_told_in_whole_milliseconds(monkeypatch, moved_ns, step_ns):
+    """Guards against a list whose starts are all moved by the moment between the readings of two clocks."""
+    readings = {"time_ns": 10**18, "monotonic_ns": 10**12}
+    for name in readings:
+        monkeypatch.setattr(time, name, lambda name=name: readings[name])
+    clock = Clock()
+    before = clock.now()
+    readings["time_ns"] += moved_ns + 10**9
+    readings["monotonic_ns"] += 10**9
+    assert clock.wall_step() == step_ns and clock.now() - before == 10**9
