A whole fleet that comes back to the list keeps its numbers

Catalog forgot all but 1,024 ids that are not listed. Units that returned after discovery had listed none for a moment got new numbers, which was harmless while each told start was believed; since a unit that appears with an old start counts as cold, so that all but 1,024 units of a large fleet would have been cold at once.

Change: as many unlisted ids are kept as were ever listed at once, 1,024 at least. The bound on cells goes: read_integer's is lower.

The new test (3,072 units) fails without the change.

--- a/loftroute/protocol/catalog.py
+++ b/loftroute/protocol/catalog.py
@@ -10,7 +10,7 @@
 BUILD_LIMIT = 65536  # number of possible builds
 ENTRIES_LIMIT = 10_000  # entries of one list
 NAME_LIMIT = 256  # characters of an id
-UNLISTED_LIMIT = 1024  # ids that keep their numbers without being listed
+UNLISTED_LIMIT = 1024  # ids that keep their numbers without being listed, if no more were ever listed
 MS = 1_000_000  # nanoseconds
 
 STATES = {
@@ -71,6 +71,7 @@
     server_numbers: dict[str, int] = field(default_factory=dict)
     _unlisted: dict[str, None] = field(default_factory=dict)  # longest unlisted first
     _forgotten: int = 0
+    _most_listed: int = 0
 
     def read(self, body: bytes, cached: bool = False) -> Listing:
         """Parse the JSON text of a list; raise `ProtocolError` if it is invalid."""
@@ -110,11 +111,16 @@
         )
 
     def _forget_unlisted(self, unlisted: list[str], listed: Iterable[str]) -> None:
-        """Forget the ids that were unlisted first if there are too many; their numbers are not reused."""
+        """Forget the ids that were unlisted first if there are too many; their numbers are not reused.
+
+        As many as were ever listed at once are kept, so that a whole fleet can come back.
+        """
         for name in listed:
             self._unlisted.pop(name, None)
         self._unlisted.update(dict.fromkeys(unlisted))
-        for name in list(self._unlisted)[: max(len(self._unlisted) - UNLISTED_LIMIT, 0)]:
+        self._most_listed = max(self._most_listed, len(self.server_numbers) - len(self._unlisted))
+        surplus = len(self._unlisted) - max(self._most_listed, UNLISTED_LIMIT)
+        for name in list(self._unlisted)[: max(surplus, 0)]:
             del self._unlisted[name], self.server_numbers[name]
             self._forgotten += 1
 
@@ -149,10 +155,7 @@
     """Return the number of a cell; a server without one shares its cell with no other."""
     if raw.get("cell") is None:
         return groups.private_group(server_name)
-    cell = read_integer(raw, "cell")
-    if cell >= groups.FIRST_NAMED_GROUP:
-        raise ValueError(f"cell {cell}")
-    return cell
+    return read_integer(raw, "cell")
 
 
 def _name(raw: Mapping[str, Any]) -> str:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -363,6 +363,15 @@
             known.read_document({"generation": version, "reset": False, "instances": [ENTRY]})
 
 
+def test_a_fleet_that_leaves_the_list_for_a_while_comes_back_with_its_numbers():
+    """Guards against units that count as new, and so as cold, after discovery had listed none for a moment."""
+    known = catalog.Catalog({}, {})
+    fleet = [{**ENTRY, "instanceId": f"s-{n}"} for n in range(3 * catalog.UNLISTED_LIMIT)]
+    documents = [{"generation": n, "reset": True, "instances": fleet if n != 1 else []} for n in range(3)]
+    before, _, after = [known.read_document(document).event.entries for document in documents]
+    assert after == before
+
+
 @pytest.mark.parametrize("reset", [True, False])
 def test_unlisted_ids_are_forgotten_and_no_number_is_assigned_twice(reset):
     known, seen = catalog.Catalog({}, {}), set()
