Less state in what recovers from failures of the disk

Behaviour stays. Log.stop takes back a suspension, so that two places no longer ask for both; what was queued is refused once when writes are suspended, since nothing is queued after that, not with each try. The lab's disk replaces the functions of `os` where they are.

--- a/loftroute/lab/faulty_disk.py
+++ b/loftroute/lab/faulty_disk.py
@@ -16,8 +16,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from loftroute.runtime import files
-
 
 class FaultyDisk:
     """Replaces `os.fsync` and `os.pwrite` of this process.
@@ -35,8 +33,8 @@
 
     def install(self) -> None:
         """Replace the functions."""
-        files.os.fsync = self._faulty(os.fsync, self.sync_delay_s, (errno.EIO,))  # type: ignore[attr-defined]
-        files.os.pwrite = self._faulty(os.pwrite, 0.0, (errno.EIO, errno.ENOSPC))  # type: ignore[attr-defined]
+        os.fsync = self._faulty(os.fsync, self.sync_delay_s, (errno.EIO,))
+        os.pwrite = self._faulty(os.pwrite, 0.0, (errno.EIO, errno.ENOSPC))
 
     def _faulty(
         self, call: Callable[..., Any], delay_s: float, errors: tuple[int, ...]
--- a/loftroute/recall/keeper.py
+++ b/loftroute/recall/keeper.py
@@ -450,10 +450,9 @@
     def _write_unsaved(self) -> None:
         """Write the outcomes that were kept, once the store takes writes."""
         self._unsaved_timer = None
-        for request_id, record in self._unsaved.items():
-            if self._store.stopped:
-                break
-            self._write_outcome(request_id, record)
+        if not self._store.stopped:
+            for request_id, record in self._unsaved.items():
+                self._write_outcome(request_id, record)
         if len(self._unsaved):
             self._schedule_unsaved()
 
--- a/loftroute/store/actor.py
+++ b/loftroute/store/actor.py
@@ -179,8 +179,8 @@
         """Try to resume writes, after longer and longer waits, until that succeeds or the store is closed."""
         logger.error("store: writes are suspended: {}", self.engine.suspended)
         suspended_at, wait = self.scheduler.clock.now(), FIRST_RESUME_WAIT
+        drive(self._writer.commit(self.now))  # refuses what was queued before
         while self.engine.suspended and not self.closed:
-            drive(self._writer.commit(self.now))  # refuses what was queued before
             self.scheduler.sleep(wait)
             wait = min(2 * wait, MAX_RESUME_WAIT)
             drive(self._writer.resume(), partial(self._sync, self._commits))
--- a/loftroute/store/compaction.py
+++ b/loftroute/store/compaction.py
@@ -70,7 +70,7 @@
             yield from self._install(inputs, output)
             log.counters.compactions += 1
         except DamagedDataError as problem:
-            log.stopped = f"damage was found: {problem}"
+            log.stop(f"damage was found: {problem}")
             log.counters.background_errors += 1
         except OSError:
             log.discard(header.name, output.file if output else None)
--- a/loftroute/store/engine.py
+++ b/loftroute/store/engine.py
@@ -116,7 +116,7 @@
     @property
     def suspended(self) -> str:
         """Return why the store takes no writes until `resume` succeeds; empty if that would be no use."""
-        return "" if self._log.stopped else self._log.suspended
+        return self._log.suspended
 
     @property
     def used_bytes(self) -> int:
--- a/loftroute/store/log.py
+++ b/loftroute/store/log.py
@@ -88,7 +88,7 @@
         files: Open segment files by segment id.
         usage_exact: The state's usage counts no records in segments that no longer exist.
         stopped: Why the store takes no more writes until it is opened again; empty if it may take them.
-        suspended: Why it takes no writes until the disk works again; empty if it may take them.
+        suspended: Why it takes no writes until the disk works again; empty if it may take them or is stopped.
         unsafe_names: Files that must be gone before writes resume: whether they last is unknown.
     """
 
@@ -135,12 +135,13 @@
 
     def suspend(self, reason: str) -> None:
         """Take no writes until `LogWriter.resume` succeeds."""
-        self.counters.suspensions += not self.suspended
-        self.suspended = reason
+        if not self.stopped:
+            self.counters.suspensions += not self.suspended
+            self.suspended = reason
 
     def stop(self, reason: str) -> None:
         """Take no more writes. The reason of the first call is kept."""
-        self.stopped = self.stopped or reason
+        self.stopped, self.suspended = self.stopped or reason, ""
 
     # ---- reading
 
--- a/loftroute/store/writer.py
+++ b/loftroute/store/writer.py
@@ -341,7 +341,7 @@
         durable. Does nothing if writes are not suspended, or while a commit runs.
         """
         log, active = self._log, self._log.active
-        if not log.suspended or log.stopped or active is None or self._committing:
+        if not log.suspended or active is None or self._committing:
             return
         self._committing = True
         try:
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -1,5 +1,7 @@
 """Disks whose calls fail for a while: the store takes writes again by itself, and keeps its promises."""
 
+import contextlib
+import errno
 import os
 import random
 import threading
@@ -7,7 +9,7 @@
 
 import pytest
 
-from loftroute.lab.disk import Disk
+from loftroute.lab.disk import Disk, PowerLostError
 from loftroute.lab.standins import Unit, eventually
 from loftroute.recall.decisions import RequestRecord, RunState
 from loftroute.recall.unsaved import UnsavedOutcomes
@@ -15,10 +17,18 @@
 from loftroute.store.records import PUT, Op
 from loftroute.store.steps import drive
 from tests.test_recall import product
-from tests.test_store import commit_put, copy_disk, failing, filled_store, open_store, values
+from tests.test_store import PLAIN, commit_put, copy_disk, failing, filled_store, open_store, values
 
 SEEDS = range(int(os.environ.get("DISK_FAULT_SEEDS", "30")))
-ERRORS = (5, 28)  # EIO, ENOSPC
+ERRORS = (errno.EIO, errno.ENOSPC)
+
+
+def suspend(engine, space):
+    """Commit, on a disk whose syncs fail, until writes are suspended."""
+    for _ in range(PLAIN.max_failed_syncs + 1):
+        if not engine.suspended:
+            commit_put(engine, space, b"lost")
+    assert engine.suspended
 
 
 @pytest.mark.parametrize("call", ["sync", "write", "create", "rename"])
@@ -28,8 +38,7 @@
     engine, space = filled_store(disk, 3)
     fails, syncs_fail = failing(call), failing("sync")
     disk.fail = lambda actual_call, name: fails(actual_call, name) or syncs_fail(actual_call, name)
-    while not engine.suspended:
-        commit_put(engine, space, b"lost")
+    suspend(engine, space)
     with pytest.raises(ReadOnlyError):
         commit_put(engine, space, b"refused")
     drive(engine.resume())
@@ -49,7 +58,9 @@
     engine, space = filled_store(disk, 200)
     run = engine.compaction_due()
     assert run is not None
-    disk.fail = lambda call, name: OSError(5, "planned", name) if (call, name) == ("sync", ".") else None
+    disk.fail = lambda call, name: (
+        OSError(errno.EIO, "planned", name) if (call, name) == ("sync", ".") else None
+    )
     before = set(disk.names)
     drive(engine.compact(run, 1))
     assert engine.suspended and set(disk.names) > before
@@ -97,16 +108,13 @@
         engine, space = filled_store(disk, 3)
         acknowledged = dict(values(engine, space))
         disk.fail = failing("sync")
-        while not engine.suspended:
-            commit_put(engine, space, b"lost")
+        suspend(engine, space)
         disk.fail = lambda call, name: None
         disk.power_at = disk.steps + steps
-        try:
+        with contextlib.suppress(PowerLostError):
             drive(engine.resume())
             if commit_put(engine, space, b"kept") is None:
                 acknowledged[b"kept"] = b""
-        except Exception as problem:
-            assert type(problem).__name__ == "PowerLostError"
         recovered = values(*open_store(disk.crash()))
         assert acknowledged.items() <= recovered.items()
         if b"kept" in acknowledged:
@@ -117,14 +125,14 @@
 @pytest.mark.parametrize("share", [0.1, 0.5, 1.0])
 def test_a_relay_serves_unsafe_requests_again_within_two_seconds_of_the_last_failure(relay, tmp_path, share):
     """Guards against -BUSY for each unsafe request until a restart, after a disk that failed now and then."""
-    failing = tmp_path / "failing"
+    failure_file = tmp_path / "failing"
     instance = relay(
         {"u1": Unit()},
         product=product(tmp_path),
         program="loftroute.lab.faulty_disk",
         env={
             "LOFTROUTE_DISK_FAILURE_SHARE": str(share),
-            "LOFTROUTE_DISK_FAILURE_FILE": str(failing),
+            "LOFTROUTE_DISK_FAILURE_FILE": str(failure_file),
             "LOFTROUTE_DISK_SEED": "1",
         },
     )
@@ -137,11 +145,11 @@
             time.sleep(0.02)
 
     threads = [threading.Thread(target=ask) for _ in range(4)]
-    failing.touch()
+    failure_file.touch()
     for thread in threads:
         thread.start()
     time.sleep(3)
-    failing.unlink()
+    failure_file.unlink()
     sound_at = time.monotonic()
     try:
         eventually(lambda: [answer for _, answer in answers[-20:]] == [b"value of k1"] * 20, 2.5)
@@ -156,14 +164,14 @@
 
 def test_an_answer_that_was_given_while_the_disk_failed_is_given_again_after_a_kill(relay, tmp_path):
     """Guards against -ERR failed for a value that the client had got: its outcome was not written later."""
-    unit, failing = Unit("wait"), tmp_path / "failing"
+    unit, failure_file = Unit("wait"), tmp_path / "failing"
     instance = relay(
         {"u1": unit},
         product=product(tmp_path),
         program="loftroute.lab.faulty_disk",
         env={
             "LOFTROUTE_DISK_FAILURE_SHARE": "1",
-            "LOFTROUTE_DISK_FAILURE_FILE": str(failing),
+            "LOFTROUTE_DISK_FAILURE_FILE": str(failure_file),
         },
     )
     names = [instance.id() for _ in range(5)]
@@ -171,12 +179,12 @@
     for name, client in zip(names, clients, strict=True):
         client.send("Q.DO", "k1", name, "c=pay,t=acme,d=3000", "BODY")
     eventually(lambda: len(unit.seen) >= len(names))
-    failing.touch()
+    failure_file.touch()
     unit.proceed.set()
     assert [client.read() for client in clients] == [b"value of k1"] * len(names)
     assert [instance.pay(instance.client(), name=name) for name in names] == [b"value of k1"] * len(names)
     time.sleep(0.5)  # more than one try to resume fails
-    failing.unlink()
+    failure_file.unlink()
     eventually(lambda: instance.pay(instance.client(), name=instance.id()) == b"value of k1")
     time.sleep(0.3)  # until the outcomes are durable
     instance.kill_and_restart()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -364,7 +364,7 @@
 
 
 def test_a_fleet_that_leaves_the_list_for_a_while_comes_back_with_its_numbers():
-    """Guards against units that count as new, and so as cold, after discovery had listed none for a moment."""
+    """Guards against units that count as new, and so as cold, after a list without any."""
     known = catalog.Catalog({}, {})
     fleet = [{**ENTRY, "instanceId": f"s-{n}"} for n in range(3 * catalog.UNLISTED_LIMIT)]
     documents = [{"generation": n, "reset": True, "instances": fleet if n != 1 else []} for n in range(3)]
